--- a/src/core/door.rs
+++ b/src/core/door.rs
@@ -30,7 +30,10 @@
     Status(u64),
     /// The job was there already, or may be: answer with what is.
     Resubmit(u64),
-    Cancel { req: u64, tries: u32 },
+    Cancel {
+        req: u64,
+        tries: u32,
+    },
 }
 
 #[derive(Debug, Default)]
@@ -157,10 +160,7 @@
         let read = self.reads.entry(id.clone()).or_default();
         if read.flying.is_empty() {
             read.flying.push(then);
-            sh.state_call(
-                Purpose::Door(DoorCall::Read { id: id.clone() }),
-                StateOp::Get(job_key(&id)),
-            );
+            sh.state_call(Purpose::Door(DoorCall::Read { id: id.clone() }), StateOp::Get(job_key(&id)));
         } else {
             read.next.push(then);
         }
@@ -232,10 +232,7 @@
         }
         if !read.next.is_empty() {
             read.flying = std::mem::take(&mut read.next);
-            sh.state_call(
-                Purpose::Door(DoorCall::Read { id: id.clone() }),
-                StateOp::Get(job_key(&id)),
-            );
+            sh.state_call(Purpose::Door(DoorCall::Read { id: id.clone() }), StateOp::Get(job_key(&id)));
             self.reads.insert(id, read);
         }
     }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -194,7 +194,14 @@
         }
     }
 
-    pub fn put_known(&mut self, sh: &Shared, name: &str, type_name: &str, zone: &str, spot: bool) -> u32 {
+    pub fn put_known(
+        &mut self,
+        sh: &Shared,
+        name: &str,
+        type_name: &str,
+        zone: &str,
+        spot: bool,
+    ) -> u32 {
         let ix = self.names.put(&name.to_string());
         if self.gone.contains(&ix) {
             return ix;
@@ -376,10 +383,7 @@
         // Tasks with checkpoints leave a machine under notice in time.
         for a in self.attempts.values_mut().filter(|a| a.want && a.counts()) {
             let Some(m) = a.machine.and_then(|m| self.fleet.machines.get(&m)) else { continue };
-            if m.notice
-                && !a.bind
-                && self.jobs.get(&a.job).is_some_and(|j| j.spec.checkpoint_s > 0.0)
-            {
+            if m.notice && !a.bind && self.jobs.get(&a.job).is_some_and(|j| j.spec.checkpoint_s > 0.0) {
                 a.want = false;
                 self.blocks[a.block as usize].dirty = true;
             }
@@ -564,7 +568,8 @@
                 let forecast = self.fleet.history.expect(&name, sh.op.season, sh.op.smoothing);
                 let target = need.max(forecast.unwrap_or(0.0)).ceil() as u32;
                 let of_kind = |m: &LMachine| m.kind == k && m.spot == spot && m.phase < Phase::Retiring;
-                let mut have = self.fleet.machines.values().filter(|m| of_kind(m) && !m.isolated).count() as u32
+                let mut have = self.fleet.machines.values().filter(|m| of_kind(m) && !m.isolated).count()
+                    as u32
                     + self
                         .fleet
                         .rents
@@ -689,9 +694,10 @@
             let Some(offer) = plan.keys().next().cloned() else { break };
             take_from(&mut plan, offer.0, offer.2);
             // Rather one that is isolated than a new one.
-            let spare = self.fleet.machines.values_mut().find(|m| {
-                m.isolated && m.phase == Phase::Up && m.kind == offer.0 && m.spot == offer.2
-            });
+            let spare =
+                self.fleet.machines.values_mut().find(|m| {
+                    m.isolated && m.phase == Phase::Up && m.kind == offer.0 && m.spot == offer.2
+                });
             if let Some(m) = spare {
                 m.isolated = false;
                 continue;
@@ -722,9 +728,7 @@
             .map(|(ix, _)| *ix)
             .take(100)
             .collect();
-        let op = if !f.catalog_known && now >= f.catalog_at
-            || now >= f.catalog_at + CATALOG_EVERY_MS
-        {
+        let op = if !f.catalog_known && now >= f.catalog_at || now >= f.catalog_at + CATALOG_EVERY_MS {
             f.catalog_at = now + if f.catalog_known { 0 } else { 2000 };
             (CloudOp::Catalog, CloudCall::Catalog)
         } else if let Some(r) =
@@ -862,7 +866,11 @@
             }
             CloudResult::NoCapacity | CloudResult::Bad => {
                 let r = self.fleet.rents.remove(i);
-                tracing::info!(kind = kind_name(sh, r.offer.0, r.offer.2), zone = r.offer.1, "no capacity");
+                tracing::info!(
+                    kind = kind_name(sh, r.offer.0, r.offer.2),
+                    zone = r.offer.1,
+                    "no capacity"
+                );
                 self.fleet.refuse(sh.now, &r.offer);
             }
             CloudResult::NotExecuted => {
@@ -902,8 +910,10 @@
 
     /// Asks for one machine; equal offers share a request.
     fn rent(&mut self, sh: &Shared, offer: Offer) -> u64 {
-        if let Some(r) =
-            self.rents.iter_mut().find(|r| r.offer == offer && r.call.is_none() && !r.open && r.count < 50)
+        if let Some(r) = self
+            .rents
+            .iter_mut()
+            .find(|r| r.offer == offer && r.call.is_none() && !r.open && r.count < 50)
         {
             r.count += 1;
             return r.number;
@@ -926,9 +936,7 @@
         let t = sh.types.get(kind)?;
         t.zones
             .iter()
-            .filter(|z| {
-                self.refused.get(&(kind, z.to_string(), spot)).is_none_or(|(u, _)| *u <= sh.now)
-            })
+            .filter(|z| self.refused.get(&(kind, z.to_string(), spot)).is_none_or(|(u, _)| *u <= sh.now))
             .min_by_key(|z| {
                 self.machines
                     .values()
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -236,7 +236,12 @@
     }
 }
 
-fn best_room<'a>(sh: &Shared, rooms: &'a mut [Room], spec: &Spec, zones: &Zones) -> Option<&'a mut Room> {
+fn best_room<'a>(
+    sh: &Shared,
+    rooms: &'a mut [Room],
+    spec: &Spec,
+    zones: &Zones,
+) -> Option<&'a mut Room> {
     let need = spec.need();
     let mut best: Option<(f64, usize)> = None;
     for (i, r) in rooms.iter().enumerate() {
@@ -251,4 +256,3 @@
     }
     best.map(|(_, i)| &mut rooms[i])
 }
-
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -15,9 +15,7 @@
 use super::{Purpose, StateOp, StateResult};
 use crate::wire::peer::{Body, Have, HaveMachine, HaveState, HaveTask, Want};
 use crate::wire::state::{Change, Cond, Item, JobState, PlaceRecord, PlacedJob, Txn};
-use crate::wire::workers::{
-    Command, Op, Redirect, Report, ReportAnswer, ReportTask, TaskState,
-};
+use crate::wire::workers::{Command, Op, Redirect, Report, ReportAnswer, ReportTask, TaskState};
 use std::collections::{HashMap, HashSet};
 
 /// A machine that has not reported for so long gets no new tasks.
@@ -269,10 +267,7 @@
                 h.load = Load::Reading;
                 let call = HolderCall::Load { block: b as u32, grant: h.grant };
                 let prefix = place_prefix(&sh.blocks[b].name);
-                sh.state_call(
-                    Purpose::Holder(call),
-                    StateOp::List { prefix, since: None, most: 1000 },
-                );
+                sh.state_call(Purpose::Holder(call), StateOp::List { prefix, since: None, most: 1000 });
             }
             if let Some((w, at)) = h.parked.take() {
                 if now > at + WANT_WAIT_MS || knows_jobs(sh, &w) {
@@ -405,8 +400,7 @@
             }
         }
         h.rejected.retain(|id| wanted.contains_key(id));
-        h.waiting =
-            w.waiting.iter().filter_map(|x| Some((sh.job_ix(&x.job)?, x.count))).collect();
+        h.waiting = w.waiting.iter().filter_map(|x| Some((sh.job_ix(&x.job)?, x.count))).collect();
         for name in &w.gone {
             self.forget_machine(sh, name, w.block);
         }
@@ -572,7 +566,9 @@
                 continue;
             }
             let new = m.attempts.iter().any(|a| a.unwritten(sh));
-            let retire = m.retire && !m.returning_written && (m.dead || m.attempts.is_empty() || m.last_report.is_none());
+            let retire = m.retire
+                && !m.returning_written
+                && (m.dead || m.attempts.is_empty() || m.last_report.is_none());
             let isolate = m.isolated != m.isolated_written;
             let tidy = m.stale.is_some_and(|at| at + 4000 < now);
             if !(new || retire || isolate || tidy) || !sh.can_write(items.len() + 1) {
@@ -847,8 +843,7 @@
                             continue;
                         };
                         let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { continue };
-                        if !window::allowed(&spec, &m.type_name, &m.zone, m.spot)
-                            || !need.fits(&t.room)
+                        if !window::allowed(&spec, &m.type_name, &m.zone, m.spot) || !need.fits(&t.room)
                         {
                             continue;
                         }
@@ -1084,7 +1079,12 @@
         let task = || format!("{}/{}", sh.job_names.name(a.job), a.task);
         let job = sh.job(a.job);
         let withdrawn = job.state == JobState::Cancelled;
-        if a.st == St::Bound && a.want && a.written && !m.returning_written && job.state == JobState::Live {
+        if a.st == St::Bound
+            && a.want
+            && a.written
+            && !m.returning_written
+            && job.state == JobState::Live
+        {
             a.sent.get_or_insert((m.session, m.seq));
             commands.push(Command { op: Op::Start, task: task(), attempt: a.id, grace_s: None });
         } else if stoppable(a) && (withdrawn || !a.want) {
@@ -1094,12 +1094,7 @@
             if a.st == St::Saving && !withdrawn {
                 continue;
             }
-            commands.push(Command {
-                op: Op::Stop,
-                task: task(),
-                attempt: a.id,
-                grace_s: Some(grace),
-            });
+            commands.push(Command { op: Op::Stop, task: task(), attempt: a.id, grace_s: Some(grace) });
         } else if a.st.ended() && !a.want && a.seen {
             commands.push(Command { op: Op::Forget, task: task(), attempt: a.id, grace_s: None });
         }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -289,10 +289,7 @@
             match i {
                 0 => self.list(sh, LeaderCall::Places, "place/", None),
                 1 => self.list(sh, LeaderCall::Progress, "progress/", None),
-                _ => sh.state_call(
-                    Purpose::Leader(LeaderCall::Fleet),
-                    StateOp::Get("fleet".into()),
-                ),
+                _ => sh.state_call(Purpose::Leader(LeaderCall::Fleet), StateOp::Get("fleet".into())),
             }
         }
         if self.loading.iter().all(|l| *l == Loading::Done) {
@@ -451,7 +448,10 @@
             if job.state == JobState::Cancelled && !chunks.is_empty() {
                 let txn = Txn {
                     conds: vec![self.leader_cond()],
-                    changes: chunks.iter().map(|c| Change::Delete { key: progress_key(&id, *c) }).collect(),
+                    changes: chunks
+                        .iter()
+                        .map(|c| Change::Delete { key: progress_key(&id, *c) })
+                        .collect(),
                 };
                 sh.state_call(Purpose::Leader(LeaderCall::Forget), StateOp::Txn(txn));
             }
@@ -552,7 +552,8 @@
                     if !alive && (restarted || sh.now > self.active_at + HOLDER_GRACE_MS) {
                         let except = (!restarted).then_some(r.node.as_str());
                         self.choose_holder(sh, b, except)
-                    } else if alive && home.as_ref().is_some_and(|h| *h != r.node && self.settled(sh, h)) {
+                    } else if alive && home.as_ref().is_some_and(|h| *h != r.node && self.settled(sh, h))
+                    {
                         home
                     } else {
                         None
@@ -620,7 +621,9 @@
         let mut listed: HashSet<u64> = HashSet::new();
         for m in &h.machines {
             let ix = self.fleet.heard(sh, m);
-            if let Some(m) = self.fleet.machines.get(&ix) && m.block != h.block {
+            if let Some(m) = self.fleet.machines.get(&ix)
+                && m.block != h.block
+            {
                 continue;
             }
             for t in &m.tasks {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -48,12 +48,27 @@
 /// What the core wants done.
 #[derive(Debug)]
 pub enum Output {
-    Answer { req: u64, answer: Answer },
-    State { call: u64, op: StateOp },
-    Cloud { call: u64, op: CloudOp },
-    Send { to: String, frame: Frame },
+    Answer {
+        req: u64,
+        answer: Answer,
+    },
+    State {
+        call: u64,
+        op: StateOp,
+    },
+    Cloud {
+        call: u64,
+        op: CloudOp,
+    },
+    Send {
+        to: String,
+        frame: Frame,
+    },
     /// Stops sent straight to a worker; never a start.
-    Direct { addr: String, orders: DirectOrders },
+    Direct {
+        addr: String,
+        orders: DirectOrders,
+    },
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -79,7 +94,9 @@
     Item(Item),
     Missing,
     Page(Page),
-    Done { revision: u64 },
+    Done {
+        revision: u64,
+    },
     Failed(Vec<String>),
     Lease(u64),
     NoLease,
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -218,8 +218,7 @@
     zones.dedup();
     let mut out = Vec::new();
     for zone in zones {
-        let mut homes: Vec<&String> =
-            nodes.iter().filter(|(_, z)| *z == zone).map(|(n, _)| n).collect();
+        let mut homes: Vec<&String> = nodes.iter().filter(|(_, z)| *z == zone).map(|(n, _)| n).collect();
         homes.sort();
         let parts = homes.len().max(1) as u32;
         for part in 0..parts {
@@ -240,10 +239,7 @@
     let digits: String = machine.chars().filter(char::is_ascii_digit).collect();
     let tail = &digits[digits.len().saturating_sub(9)..];
     let number: u32 = tail.parse().unwrap_or(0);
-    blocks
-        .iter()
-        .position(|b| b.zone == zone && number % b.parts == b.part)
-        .map(|ix| ix as u32)
+    blocks.iter().position(|b| b.zone == zone && number % b.parts == b.part).map(|ix| ix as u32)
 }
 
 /// `run-000412/3` -> (`run-000412`, 3)
--- a/src/core/sync.rs
+++ b/src/core/sync.rs
@@ -59,10 +59,7 @@
     }
 
     fn list(&mut self, sh: &mut Shared, call: SyncCall, since: Option<String>) {
-        sh.state_call(
-            Purpose::Sync(call),
-            StateOp::List { prefix: PREFIX.into(), since, most: 500 },
-        );
+        sh.state_call(Purpose::Sync(call), StateOp::List { prefix: PREFIX.into(), since, most: 500 });
     }
 
     pub fn on_result(&mut self, sh: &mut Shared, call: SyncCall, sent: Ms, result: StateResult) {
--- a/src/io/client.rs
+++ b/src/io/client.rs
@@ -70,21 +70,19 @@
         let _slot = Slot(self.open.clone());
         let start = tokio::time::Instant::now();
         let mut sender = self.sender().await?;
-        let mut req = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(header::HOST, self.addr.to_string());
+        let mut req =
+            Request::builder().method(method).uri(path).header(header::HOST, self.addr.to_string());
         if body.is_some() {
             req = req.header(header::CONTENT_TYPE, "application/json");
         }
-        let req = req
-            .body(Full::new(Bytes::from(body.unwrap_or_default())))
-            .map_err(|_| Failure::NotSent)?;
+        let req =
+            req.body(Full::new(Bytes::from(body.unwrap_or_default()))).map_err(|_| Failure::NotSent)?;
         let left = limit.saturating_sub(start.elapsed());
         let work = async {
-            let res = sender.send_request(req).await.map_err(|e| {
-                if e.is_canceled() { Failure::NotSent } else { Failure::Unknown }
-            })?;
+            let res = sender
+                .send_request(req)
+                .await
+                .map_err(|e| if e.is_canceled() { Failure::NotSent } else { Failure::Unknown })?;
             let status = res.status().as_u16();
             let body = Limited::new(res.into_body(), MAX_ANSWER)
                 .collect()
--- a/src/io/driver.rs
+++ b/src/io/driver.rs
@@ -31,8 +31,7 @@
     let mut rng = rand::rng();
     let started = Instant::now();
     let now = || started.elapsed().as_millis() as u64 + 1;
-    let mut core =
-        Core::new(cfg.clone(), op, new_incarnation(&mut rng), rng.random(), now());
+    let mut core = Core::new(cfg.clone(), op, new_incarnation(&mut rng), rng.random(), now());
 
     let bad = |what: &str, e: std::io::Error| format!("{what}: {e}");
     let peer_listener = tokio::net::TcpListener::bind(cfg.peer_listen)
--- a/src/io/state.rs
+++ b/src/io/state.rs
@@ -20,11 +20,9 @@
             (Method::GET, format!("/keys?prefix={prefix}{since}&most={most}"), None)
         }
         StateOp::Txn(t) => (Method::POST, "/multi".into(), serde_json::to_vec(t).ok()),
-        StateOp::Grant { ttl_ms } => (
-            Method::POST,
-            "/holds".into(),
-            serde_json::to_vec(&json!({ "ttl_ms": ttl_ms })).ok(),
-        ),
+        StateOp::Grant { ttl_ms } => {
+            (Method::POST, "/holds".into(), serde_json::to_vec(&json!({ "ttl_ms": ttl_ms })).ok())
+        }
         StateOp::Renew(id) => (Method::POST, format!("/holds/{id}/renew"), Some(b"{}".to_vec())),
         StateOp::Release(id) => (Method::DELETE, format!("/holds/{id}"), None),
         StateOp::Watch { prefix, since, block_ms } => {
@@ -53,15 +51,9 @@
         (StateOp::Txn(_), 200) => {
             parse::<TxnDone>(&r).map(|d| StateResult::Done { revision: d.revision })
         }
-        (StateOp::Txn(_), 409) => {
-            parse::<TxnFailed>(&r).map(|f| StateResult::Failed(f.failed))
-        }
-        (StateOp::Grant { .. }, 200) => {
-            parse::<LeaseGranted>(&r).map(|g| StateResult::Lease(g.lease))
-        }
-        (StateOp::Renew(_) | StateOp::Release(_), 200 | 204) => {
-            Some(StateResult::Done { revision: 0 })
-        }
+        (StateOp::Txn(_), 409) => parse::<TxnFailed>(&r).map(|f| StateResult::Failed(f.failed)),
+        (StateOp::Grant { .. }, 200) => parse::<LeaseGranted>(&r).map(|g| StateResult::Lease(g.lease)),
+        (StateOp::Renew(_) | StateOp::Release(_), 200 | 204) => Some(StateResult::Done { revision: 0 }),
         (StateOp::Renew(_) | StateOp::Release(_), 404) => Some(StateResult::NoLease),
         (StateOp::Watch { .. }, 200) => parse::<WatchAnswer>(&r).map(StateResult::Watch),
         (StateOp::Watch { .. }, 410) => Some(StateResult::TooOld),
--- a/src/main.rs
+++ b/src/main.rs
@@ -44,11 +44,7 @@
         Ok("debug") => tracing::Level::DEBUG,
         _ => tracing::Level::INFO,
     };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .init();
+    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(r) => r,
         Err(e) => {
