--- a/src/core/door.rs
+++ b/src/core/door.rs
@@ -240,7 +240,7 @@
 
 fn answer_state(sh: &mut Shared, req: u64, status: u16, id: &str, state: JobState) {
     let (done, running) = sh.counts.get(id).copied().unwrap_or((0, 0));
-    let tasks = sh.job_ix(id).and_then(|ix| Some(sh.job(ix).tasks));
+    let tasks = sh.job_ix(id).map(|ix| sh.job(ix).tasks);
     let (state, done, running) = match state {
         JobState::Live if running > 0 => ("running", Some(done), Some(running)),
         JobState::Live => ("queued", Some(done), Some(0)),
