Fix: a stale older attempt going must not requeue a task that a newer one runs

When their machine's lease ended, the leader put the task back in line although a newer attempt ran elsewhere (ran_twice).

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -1050,12 +1050,13 @@
         a.st = st;
     }
     let fenced = m.fenced;
+    let machine = m.name.as_str();
     let before = m.attempts.len();
     m.attempts.retain(|a| {
         if listed.contains(&a.id) {
             return true;
         }
-        match a.st {
+        let keep = match a.st {
             // Kept as knowledge until the leader has recorded it.
             St::Done if a.want => true,
             // Not sent yet, or sent in an answer that the worker dropped:
@@ -1065,7 +1066,11 @@
             // the worker knows our token.
             St::Inherited => !(fenced || new_session),
             _ => false,
+        };
+        if !keep {
+            tracing::debug!(machine, job = sh.job_names.name(a.job), task = a.task, attempt = a.id, st = ?a.st, new_session, "gone");
         }
+        keep
     });
     if m.attempts.len() != before {
         m.stale.get_or_insert(now);
@@ -1086,6 +1091,7 @@
             && job.state == JobState::Live
         {
             a.sent.get_or_insert((m.session, m.seq));
+            tracing::debug!(machine = m.name, task = task(), attempt = a.id, "run sent");
             commands.push(Command { op: Op::Start, task: task(), attempt: a.id, grace_s: None });
         } else if stoppable(a) && (withdrawn || !a.want) {
             let spec = job.spec.as_deref();
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -499,8 +499,14 @@
         self.blocks[block as usize].dirty = true;
     }
 
+    /// Puts a task back in line once an attempt at it is gone. An older attempt
+    /// that was still in a record may go while a newer one runs; the task is
+    /// then in good hands, and a third attempt would run it twice.
     fn requeue(&mut self, job: u32, task: u32) {
         self.round_due = true;
+        if self.attempts.values().any(|a| a.job == job && a.task == task) {
+            return;
+        }
         if let Some(j) = self.jobs.get_mut(&job)
             && !j.done.contains(task)
             && !j.retry.contains(&task)
--- a/src/core/term.rs
+++ b/src/core/term.rs
@@ -97,7 +97,7 @@
             (TermCall::Claim { .. }, StateResult::Done { .. } | StateResult::Failed(_)) => {
                 self.retry_at = sh.now + sh.jitter(300);
             }
-            (TermCall::Claim { lease }, StateResult::Bad) => {
+            (TermCall::Claim { lease }, StateResult::Bad | StateResult::NoLease) => {
                 // The lease has ended. A new one is needed.
                 if self.lease == Some(lease) {
                     self.lease = None;
--- a/src/io/state.rs
+++ b/src/io/state.rs
@@ -57,6 +57,10 @@
         (StateOp::Renew(_) | StateOp::Release(_), 404) => Some(StateResult::NoLease),
         (StateOp::Watch { .. }, 200) => parse::<WatchAnswer>(&r).map(StateResult::Watch),
         (StateOp::Watch { .. }, 410) => Some(StateResult::TooOld),
+        // An ended lease is an ordinary answer to a late claim.
+        (StateOp::Txn(_), 400) if r.body.windows(13).any(|w| w == b"no such lease") => {
+            Some(StateResult::NoLease)
+        }
         (_, 400..=499) => {
             tracing::error!(status = r.status, ?op, "the state service rejects a request");
             Some(StateResult::Bad)
