--- a/src/config.rs
+++ b/src/config.rs
@@ -152,7 +152,7 @@
     fn default() -> Self {
         Operator {
             window_s: 20.0,
-            season: 12,
+            season: 90,
             smoothing: 0.4,
             overload_level: 0.95,
             overload_steps: 0.10,
--- a/src/core/forecast.rs
+++ b/src/core/forecast.rs
@@ -7,8 +7,11 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Windows kept per kind, in seasons.
+/// Seasons kept, and windows in all: the record has to fit its limit.
 const KEEP_SEASONS: usize = 3;
+const KEEP_WINDOWS: usize = 240;
+/// Windows that make a level worth following.
+const ENOUGH: usize = 3;
 
 #[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
 pub struct History {
@@ -27,7 +30,7 @@
             let n = self.longest();
             self.kinds.entry(kind.clone()).or_insert_with(|| vec![0.0; n]);
         }
-        let keep = (season * KEEP_SEASONS).clamp(1, 400);
+        let keep = (season * KEEP_SEASONS).clamp(ENOUGH, KEEP_WINDOWS);
         for (kind, list) in &mut self.kinds {
             let v = booked.get(kind).copied().unwrap_or(0.0);
             list.push((v * 100.0).round() as f32 / 100.0);
@@ -42,16 +45,20 @@
     }
 
     /// Machines' worth of bookings expected in the next window; none without
-    /// enough history.
+    /// enough history. The season counts once it has been seen twice: from
+    /// less, any rise and fall of the last minutes would pass for one.
     pub fn expect(&self, kind: &str, season: usize, smoothing: f64) -> Option<f64> {
         let list = self.kinds.get(kind)?;
-        if list.len() < season.max(1) {
+        if list.len() < ENOUGH {
             return None;
         }
         let mut level = f64::from(list[0]);
         for v in &list[1..] {
             level += smoothing * (f64::from(*v) - level);
         }
+        if list.len() < 2 * season {
+            return Some(level);
+        }
         // The same place in earlier seasons, newest heaviest.
         let mut seasonal = None;
         let mut at = list.len() as i64 - season as i64;
