--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -566,7 +566,9 @@
                     plan.iter().filter(|((pk, _, ps), _)| *pk == k && *ps == spot).map(|(_, n)| n).sum();
                 let need = present.get(&name).copied().unwrap_or(0.0) + f64::from(waiting);
                 let forecast = self.fleet.history.expect(&name, sh.op.season, sh.op.smoothing);
-                let target = need.max(forecast.unwrap_or(0.0)).ceil() as u32;
+                // A forecast of a small part of a machine is no reason to rent
+                // one; present need is.
+                let target = (need.ceil() as u32).max(forecast.unwrap_or(0.0).round() as u32);
                 let of_kind = |m: &LMachine| m.kind == k && m.spot == spot && m.phase < Phase::Retiring;
                 let mut have = self.fleet.machines.values().filter(|m| of_kind(m) && !m.isolated).count()
                     as u32
