--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -6,6 +6,7 @@
 
 use super::leader::Leader;
 use super::model::{JobOrder, Res, Spec};
+use crate::config::Objective;
 use super::shared::Shared;
 use super::window::{allowed, fit_score};
 use crate::wire::peer::HaveState;
@@ -13,8 +14,8 @@
 
 /// Grants of one round; the next one follows at once.
 const MAX_GRANTS: usize = 400;
-/// A job without a deadline is taken to be due this long after its arrival.
-const DUE_WITHOUT_DEADLINE_S: f64 = 60.0;
+/// A job that no aim speaks of is to be started this long after its arrival.
+const DUE_WITHOUT_AIM_S: f64 = 60.0;
 
 /// Free room of one machine, as far as the leader knows.
 #[derive(Debug, Clone)]
@@ -96,12 +97,14 @@
             if j.hold_until > now || j.peek().is_none() {
                 continue;
             }
-            let due_s = j.spec.deadline_s.unwrap_or(DUE_WITHOUT_DEADLINE_S);
-            let due = j.spec.at_ms as f64 / 1000.0 + due_s - j.spec.estimate_s;
+            let ratio = self.ratios.get(&j.spec.class).copied().unwrap_or(1.0);
+            let run_s = j.spec.estimate_s * ratio;
+            let age_s = wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
+            let next = next_start(&sh.cfg.cluster.objectives, &j.spec, within[ix], run_s, age_s);
             let order = JobOrder {
                 priority: std::cmp::Reverse(j.spec.priority),
-                beyond: !within[ix],
-                slack_ms: ((due - wall as f64 / 1000.0) * 1000.0) as i64,
+                late: next.is_none(),
+                slack_ms: (next.unwrap_or(-age_s) * 1000.0) as i64,
             };
             list.push((order, *ix));
         }
@@ -192,6 +195,31 @@
     }
 }
 
+/// Seconds until the next aim for which the job can still be started in time;
+/// none when all are missed. Serving work that is late already before work
+/// that can still make it would only make both late.
+fn next_start(objectives: &[Objective], spec: &Spec, within: bool, run_s: f64, age_s: f64) -> Option<f64> {
+    let own = objectives.iter().filter(|o| o.class.as_ref().is_none_or(|c| *c == spec.class));
+    let mut best: Option<f64> = None;
+    let mut any = false;
+    for o in own {
+        let at = match o.kind.as_str() {
+            "deadline" => spec.deadline_s.map(|d| d * o.times.unwrap_or(1.0) - run_s),
+            "finished" => o.within_s.map(|w| w - run_s),
+            "wait" => o.within_s,
+            "guarantee" if within => o.within_s,
+            _ => None,
+        };
+        let Some(at) = at else { continue };
+        any = true;
+        let left = at - age_s;
+        if left >= 0.0 && best.is_none_or(|b| left < b) {
+            best = Some(left);
+        }
+    }
+    if any { best } else { Some(DUE_WITHOUT_AIM_S - age_s) }
+}
+
 /// How many more tasks the team's limit allows. A limit of 0 means none.
 pub fn quota_tasks(team: &crate::config::Team, used: &Res, need: &Res) -> u32 {
     let limit = Res { cpus: team.cpus_max - used.cpus, gpus: team.gpus_max - used.gpus, mem: f64::MAX };
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -310,7 +310,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobOrder {
     pub priority: std::cmp::Reverse<Priority>,
-    /// Beyond the team's guarantee.
-    pub beyond: bool,
+    /// Every aim that it could be started for is missed.
+    pub late: bool,
     pub slack_ms: i64,
 }
