--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -6,9 +6,9 @@
 
 use super::leader::Leader;
 use super::model::{JobOrder, Res, Spec};
-use crate::config::Objective;
 use super::shared::Shared;
 use super::window::{allowed, fit_score};
+use crate::config::Objective;
 use crate::wire::peer::HaveState;
 use std::collections::HashMap;
 
@@ -198,7 +198,13 @@
 /// Seconds until the next aim for which the job can still be started in time;
 /// none when all are missed. Serving work that is late already before work
 /// that can still make it would only make both late.
-fn next_start(objectives: &[Objective], spec: &Spec, within: bool, run_s: f64, age_s: f64) -> Option<f64> {
+fn next_start(
+    objectives: &[Objective],
+    spec: &Spec,
+    within: bool,
+    run_s: f64,
+    age_s: f64,
+) -> Option<f64> {
     let own = objectives.iter().filter(|o| o.class.as_ref().is_none_or(|c| *c == spec.class));
     let mut best: Option<f64> = None;
     let mut any = false;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,7 +21,7 @@
 use crate::wire::cloud::{Catalog, MachinePage, RentAnswer, RentRequest, ReturnRequest};
 use crate::wire::peer::{Body, Frame};
 use crate::wire::state::{Item, Page, Txn, WatchAnswer};
-use crate::wire::workers::{DirectOrders, Report};
+use crate::wire::workers::Report;
 use model::Ms;
 use shared::Shared;
 use std::sync::Arc;
@@ -64,10 +64,9 @@
         to: String,
         frame: Frame,
     },
-    /// Stops sent straight to a worker; never a start.
-    Direct {
-        addr: String,
-        orders: DirectOrders,
+    /// The connection to this node may lead to a process that is no more.
+    Reconnect {
+        to: String,
     },
 }
 
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -31,6 +31,7 @@
     pub since: Ms,
     pub incarnation: u64,
     pub state_age: u64,
+    reset_at: Ms,
 }
 
 /// A token bucket: our side of a rate limit.
@@ -217,6 +218,13 @@
             return;
         }
         self.last_beat = self.now.max(1);
+        let silence = (self.op.node_silence_s * 1000.0) as Ms;
+        for (to, v) in &mut self.peers {
+            if v.heard.max(v.reset_at) + silence < self.now {
+                v.reset_at = self.now;
+                self.out.push(Output::Reconnect { to: to.clone() });
+            }
+        }
         let beat = Beat { state_age_ms: self.state_age(), counts: std::mem::take(&mut self.counts_out) };
         for p in self.cfg.clone().peers.iter() {
             self.send(&p.node, Body::Beat(beat.clone()));
@@ -237,6 +245,7 @@
             since: now,
             incarnation: f.incarnation,
             state_age: 0,
+            reset_at: now,
         });
         // A late frame of an earlier process is no sign of life.
         if f.incarnation < v.incarnation {
@@ -245,6 +254,11 @@
         if f.incarnation > v.incarnation || v.heard + silence < now {
             v.since = now;
         }
+        // What we wrote to its former process is lost without an error: a
+        // machine that lost power answers nothing, not even a refusal.
+        if f.incarnation > v.incarnation {
+            self.out.push(Output::Reconnect { to: f.from.clone() });
+        }
         v.incarnation = f.incarnation;
         v.heard = now;
         if let Body::Beat(b) = &f.body {
--- a/src/io/driver.rs
+++ b/src/io/driver.rs
@@ -89,7 +89,7 @@
 struct Io {
     state: Client,
     cloud: Client,
-    links: HashMap<String, tokio::sync::mpsc::Sender<crate::wire::peer::Frame>>,
+    links: HashMap<String, tokio::sync::mpsc::Sender<peers::Post>>,
     tx: UnboundedSender<Input>,
 }
 
@@ -112,10 +112,15 @@
             }
             Output::Send { to, frame } => {
                 if let Some(link) = self.links.get(&to) {
-                    let _ = link.try_send(frame);
+                    let _ = link.try_send(peers::Post::Frame(frame));
                 }
             }
-            Output::Direct { .. } | Output::Answer { .. } => {}
+            Output::Reconnect { to } => {
+                if let Some(link) = self.links.get(&to) {
+                    let _ = link.try_send(peers::Post::Reconnect);
+                }
+            }
+            Output::Answer { .. } => {}
         }
     }
 }
--- a/src/io/peers.rs
+++ b/src/io/peers.rs
@@ -19,17 +19,27 @@
 /// Connections taken from peers at once, old ones that hang included.
 const MOST_IN: usize = 24;
 
+pub enum Post {
+    Frame(Frame),
+    /// Leave the present connection; the next frame opens another.
+    Reconnect,
+}
+
 /// The sending side to one peer.
-pub fn link(addr: SocketAddr) -> Sender<Frame> {
+pub fn link(addr: SocketAddr) -> Sender<Post> {
     let (tx, rx) = channel(QUEUE);
     tokio::task::spawn_local(send_all(addr, rx));
     tx
 }
 
-async fn send_all(addr: SocketAddr, mut rx: Receiver<Frame>) {
+async fn send_all(addr: SocketAddr, mut rx: Receiver<Post>) {
     let mut stream: Option<TcpStream> = None;
     let mut retry_at = tokio::time::Instant::now();
-    while let Some(frame) = rx.recv().await {
+    while let Some(post) = rx.recv().await {
+        let Post::Frame(frame) = post else {
+            stream = None;
+            continue;
+        };
         if stream.is_none() {
             if tokio::time::Instant::now() < retry_at {
                 continue;
--- a/src/wire/workers.rs
+++ b/src/wire/workers.rs
@@ -87,13 +87,3 @@
     #[serde(rename = "foreman", skip_serializing_if = "Option::is_none")]
     pub report_to: Option<String>,
 }
-
-#[derive(Debug, Clone, Serialize)]
-pub struct DirectOrders {
-    #[serde(rename = "baton")]
-    pub token: u64,
-    #[serde(rename = "shift")]
-    pub session: u64,
-    #[serde(rename = "orders")]
-    pub commands: Vec<Command>,
-}
