--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -56,6 +56,8 @@
     pub isolated: bool,
     pub phase: Phase,
     listed: bool,
+    /// The newest list calls it starting.
+    starting: bool,
     /// Complete lists in a row that did not show it any more.
     missed: u32,
     overloaded: bool,
@@ -221,6 +223,7 @@
             isolated: false,
             phase: Phase::Booting,
             listed: false,
+            starting: false,
             missed: 0,
             overloaded: false,
             peak: 0.0,
@@ -359,9 +362,14 @@
                 continue;
             }
             let boot = sh.types.get(m.kind).map_or(60.0, |t| t.boot_s).max(10.0);
+            // A new leader knows nothing yet of machines that are well up:
+            // only the cloud's word `starting` speaks against a machine, or
+            // silence for longer than any lease.
+            let mute = now > self.active_at + lease + 10_000;
             let never = m.phase == Phase::Booting
                 && now > m.since + (boot * BOOT_FACTOR * 1000.0) as Ms
-                && m.heard.is_none();
+                && m.heard.is_none()
+                && (m.starting || mute);
             let silent = m.heard.map_or(0, |at| now.saturating_sub(at));
             let vanished = m.missed >= 2 && silent > VANISHED_MS;
             let lost = silent > lease + 5_000;
@@ -904,6 +912,7 @@
         self.list_seen.insert(ix);
         let Some(m) = self.machines.get_mut(&ix) else { return };
         m.since = m.since.min(sh.now.saturating_sub((l.age_s.max(0.0) * 1000.0) as Ms));
+        m.starting = l.state == "starting";
         if l.state == "failed" && m.phase < Phase::Retiring {
             tracing::info!(machine = m.name, "machine has failed");
             m.phase = Phase::Retiring;
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -198,7 +198,7 @@
     loading: [Loading; 3],
     load_retry: Ms,
     pub active: bool,
-    active_at: Ms,
+    pub active_at: Ms,
     pub jobs: BTreeMap<u32, LJob>,
     pub attempts: HashMap<u64, LAttempt>,
     next_attempt: u64,
