--- a/src/io/driver.rs
+++ b/src/io/driver.rs
@@ -112,7 +112,7 @@
             }
             Output::Send { to, frame } => {
                 if let Some(link) = self.links.get(&to) {
-                    let _ = link.try_send(peers::Post::Frame(frame));
+                    let _ = link.try_send(peers::Post::Frame(Box::new(frame)));
                 }
             }
             Output::Reconnect { to } => {
--- a/src/io/peers.rs
+++ b/src/io/peers.rs
@@ -20,7 +20,7 @@
 const MOST_IN: usize = 24;
 
 pub enum Post {
-    Frame(Frame),
+    Frame(Box<Frame>),
     /// Leave the present connection; the next frame opens another.
     Reconnect,
 }
@@ -55,7 +55,7 @@
                 }
             }
         }
-        let body = bitcode::encode(&frame);
+        let body = bitcode::encode(&*frame);
         if body.len() > MAX_FRAME {
             tracing::error!(bytes = body.len(), "frame too long to send");
             continue;
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,473 @@
+//! Stories of the whole service on fakes: one per rule and invariant.
+
+mod support;
+
+use rand::RngExt;
+use serde_json::{Value, json};
+use support::{World, job};
+use woadlever::core::HttpCall;
+
+fn world(seed: u64) -> World {
+    let mut w = World::new(3, seed);
+    w.run(5_000);
+    w
+}
+
+#[test]
+fn a_job_runs_once_and_is_called_done_by_every_node() {
+    let mut w = world(1);
+    w.accept(0, &job(1, "t0", 6, 10.0));
+    assert!(w.until_done("run-000001", 90_000));
+    w.run(3_000);
+    for n in 0..3 {
+        assert_eq!(w.status(n, "run-000001"), "done");
+    }
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+    assert_eq!(w.starts.len(), 6);
+    w.fair();
+}
+
+#[test]
+fn the_team_limit_holds_however_much_is_asked() {
+    let mut w = world(2);
+    w.accept(0, &job(1, "t0", 30, 10.0));
+    w.accept(1, &job(2, "t0", 30, 10.0));
+    assert!(w.until_done("run-000002", 300_000));
+    w.fair();
+}
+
+#[test]
+fn zones_types_and_kinds_are_as_the_job_allows() {
+    let mut w = world(3);
+    let mut a = job(1, "t1", 9, 10.0);
+    a["scatter"] = json!(true);
+    let mut b = job(2, "t1", 5, 10.0);
+    b["one_zone"] = json!(true);
+    b["standby"] = json!(false);
+    let mut c = job(3, "t1", 3, 10.0);
+    c["yard"] = json!("west");
+    for j in [&a, &b, &c] {
+        w.accept(0, j);
+    }
+    for id in ["run-000001", "run-000002", "run-000003"] {
+        assert!(w.until_done(id, 200_000), "{id}");
+    }
+    w.fair();
+}
+
+#[test]
+fn a_cancelled_job_is_gone_in_time_and_stays_cancelled() {
+    let mut w = world(4);
+    w.run_ms = 300_000;
+    w.accept(0, &job(1, "t1", 8, 300.0));
+    w.run(40_000);
+    assert!(!w.starts.is_empty());
+    assert_eq!(w.cancel(1, "run-000001"), 200);
+    for n in 0..3 {
+        assert_eq!(w.status(n, "run-000001"), "withdrawn");
+    }
+    w.run(60_000);
+    assert!(w.workers.iter().all(|x| x.tasks.is_empty()));
+    // A repeated submission changes nothing.
+    let r = w.submit(2, &job(1, "t1", 8, 300.0));
+    w.run(500);
+    assert_eq!(w.answers[&r].status, 200);
+    assert!(w.answers[&r].body.contains("withdrawn"));
+    w.fair();
+}
+
+/// Invariant 5: a holder cut off from all but its workers must let their
+/// leases end before a cancellation that it never saw is overdue.
+#[test]
+fn a_holder_cut_off_from_all_but_its_workers_keeps_nothing_cancelled() {
+    let mut w = world(5);
+    w.run_ms = 600_000;
+    w.accept(0, &job(1, "t1", 12, 600.0));
+    w.run(40_000);
+    let leader = w.leader().unwrap();
+    let victim = (leader + 1) % 3;
+    for other in (0..3).filter(|n| *n != victim) {
+        w.cuts.insert((victim, other));
+    }
+    w.state.refuses.insert(victim);
+    // Its workers reach it alone.
+    w.run(500);
+    assert_eq!(w.cancel(leader, "run-000001"), 200);
+    w.run(120_000);
+    w.fair();
+}
+
+#[test]
+fn a_restart_of_all_nodes_keeps_running_tasks_and_forgets_nothing() {
+    let mut w = world(6);
+    w.run_ms = 40_000;
+    w.accept(0, &job(1, "t1", 8, 40.0));
+    w.run(30_000);
+    let before = w.starts.clone();
+    assert!(!before.is_empty());
+    for n in 0..3 {
+        w.crash(n, 3_000);
+    }
+    w.run(4_000);
+    assert!(w.until_done("run-000001", 150_000));
+    assert_eq!(w.status(1, "run-000001"), "done");
+    for (t, n) in &w.starts {
+        assert_eq!(*n, 1, "{t} was started again although its lease lasted");
+    }
+    w.fair();
+}
+
+#[test]
+fn a_crashed_leader_is_replaced_and_work_goes_on() {
+    let mut w = world(7);
+    w.accept(0, &job(1, "t1", 24, 10.0));
+    w.run(25_000);
+    let old = w.leader().unwrap();
+    w.crash(old, 60_000);
+    w.run(9_000);
+    assert_ne!(w.leader().unwrap(), old);
+    assert!(w.until_done("run-000001", 150_000));
+    w.fair();
+}
+
+#[test]
+fn a_leader_back_at_once_gives_up_its_former_lease() {
+    let mut w = world(8);
+    let old = w.leader().unwrap();
+    let term = w.state.keys["w/leader"].1;
+    w.crash(old, 200);
+    w.run(1_500);
+    assert!(w.leader().is_some());
+    assert!(w.state.keys["w/leader"].1 > term, "waited for the lease of a process known to be gone");
+}
+
+/// After an outage shorter than the leases, work goes on where it was.
+#[test]
+fn a_short_outage_of_the_state_service_loses_no_work() {
+    let mut w = world(9);
+    w.run_ms = 60_000;
+    w.accept(0, &job(1, "t1", 8, 60.0));
+    w.run(35_000);
+    w.state.down = true;
+    w.run(10_000);
+    assert_eq!(w.status(0, "run-999999"), "503", "no answer may rest on what is not known");
+    w.state.down = false;
+    assert!(w.until_done("run-000001", 150_000));
+    assert!(w.starts.values().all(|n| *n == 1));
+    w.fair();
+}
+
+#[test]
+fn a_long_outage_ends_leases_and_every_task_still_completes() {
+    let mut w = world(10);
+    w.run_ms = 30_000;
+    w.accept(0, &job(1, "t1", 8, 30.0));
+    w.run(25_000);
+    w.state.down = true;
+    w.run(70_000);
+    w.state.down = false;
+    assert!(w.until_done("run-000001", 250_000));
+    w.fair();
+}
+
+/// A node that the state service refuses alone is not ready and loses its
+/// blocks; in an outage for all, everyone stays ready.
+#[test]
+fn readiness_tells_a_lone_refusal_from_an_outage() {
+    let mut w = world(11);
+    let victim = (w.leader().unwrap() + 1) % 3;
+    let ready = |w: &mut World, n: usize| {
+        let r = w.ask(n, HttpCall::Ready);
+        w.run(50);
+        w.answers[&r].status
+    };
+    w.state.refuses.insert(victim);
+    w.run(8_000);
+    assert_eq!(ready(&mut w, victim), 503);
+    let name = format!("n{victim}");
+    let held =
+        w.state.keys.iter().any(|(k, v)| k.starts_with("w/block/") && v.0["node"] == name.as_str());
+    assert!(!held, "it keeps blocks that it can't serve");
+    w.state.refuses.clear();
+    w.run(5_000);
+    assert_eq!(ready(&mut w, victim), 200);
+    w.state.down = true;
+    w.run(8_000);
+    for n in 0..3 {
+        assert_eq!(ready(&mut w, n), 200);
+    }
+}
+
+/// Invariant 2 and 3: an answer that the worker never got proves nothing, and
+/// the `run` in it is sent again instead of the task being put elsewhere.
+#[test]
+fn a_lost_answer_neither_loses_nor_doubles_a_task() {
+    let mut w = world(12);
+    w.accept(0, &job(1, "t1", 8, 10.0));
+    w.run(12_000);
+    w.lose_replies = (0..w.workers.len()).collect();
+    w.run(8_000);
+    w.lose_replies.clear();
+    assert!(w.until_done("run-000001", 150_000));
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+    w.fair();
+}
+
+/// Transactions whose answer is lost, and that run seconds later.
+#[test]
+fn late_transactions_do_no_harm() {
+    for seed in 0..4 {
+        let mut w = world(20 + seed);
+        w.lossy = 0.3;
+        w.accept(0, &job(1, "t1", 16, 10.0));
+        w.accept(1, &job(2, "t0", 6, 10.0));
+        w.run(60_000);
+        w.lossy = 0.0;
+        assert!(w.until_done("run-000001", 200_000));
+        assert!(w.until_done("run-000002", 200_000));
+        w.fair();
+    }
+}
+
+#[test]
+fn a_silent_machine_gives_its_tasks_up_only_with_its_lease() {
+    let mut w = world(13);
+    w.run_ms = 15_000;
+    w.accept(0, &job(1, "t1", 8, 15.0));
+    w.run(20_000);
+    let victim = w.workers.iter().position(|x| !x.tasks.is_empty()).unwrap();
+    w.workers[victim].cut = true;
+    w.run(60_000);
+    w.workers[victim].cut = false;
+    assert!(w.until_done("run-000001", 150_000));
+    w.fair();
+}
+
+#[test]
+fn a_sick_machine_is_shunned_and_the_job_completes() {
+    let mut w = world(14);
+    w.accept(0, &job(1, "t1", 8, 10.0));
+    w.run(8_000);
+    if let Some(x) = w.workers.first_mut() {
+        x.sick = true;
+    }
+    assert!(w.until_done("run-000001", 200_000));
+    let failed: u32 = w.starts.values().sum::<u32>() - 8;
+    assert!(failed <= 12, "the sick machine took {failed} starts");
+    w.fair();
+}
+
+#[test]
+fn a_watch_that_fell_behind_leads_to_a_fresh_read() {
+    let mut w = world(15);
+    w.accept(0, &job(1, "t1", 2, 10.0));
+    w.state.floor = u64::MAX;
+    w.run(4_000);
+    w.state.floor = w.state.revision;
+    w.accept(1, &job(2, "t1", 2, 10.0));
+    w.state.floor = 0;
+    assert!(w.until_done("run-000001", 90_000));
+    assert!(w.until_done("run-000002", 90_000));
+    w.fair();
+}
+
+/// A new leader has not heard of machines that run well; it must not take
+/// them for machines that never booted.
+#[test]
+fn a_new_leader_returns_no_machine_that_runs() {
+    let mut w = world(16);
+    w.run_ms = 200_000;
+    w.accept(0, &job(1, "t1", 16, 200.0));
+    w.run(60_000);
+    let old = w.leader().unwrap();
+    let before = w.returned.clone();
+    w.crash(old, 4_000);
+    w.crash((old + 1) % 3, 4_000);
+    w.run(12_000);
+    let busy: Vec<&String> = w
+        .returned
+        .iter()
+        .filter(|n| !before.contains(n))
+        .filter(|n| w.state.keys.iter().any(|(k, v)| k.ends_with(n.as_str()) && !v.0["j"].is_null()))
+        .collect();
+    assert!(busy.is_empty(), "returned {busy:?}");
+    assert!(w.starts.values().all(|n| *n == 1));
+}
+
+/// Frames written into a connection to a process that is no more vanish
+/// without an error; the sender has to leave it by itself.
+#[test]
+fn links_to_a_restarted_or_silent_node_are_opened_anew() {
+    let mut w = world(17);
+    w.reconnects.clear();
+    w.crash(2, 300);
+    w.run(2_000);
+    assert!(w.reconnects.iter().any(|(n, to)| *n == 0 && to == "n2"));
+    w.reconnects.clear();
+    w.cuts.insert((0, 1));
+    w.run(5_000);
+    assert!(w.reconnects.iter().any(|(n, to)| *n == 0 && to == "n1"));
+}
+
+#[test]
+fn a_job_of_many_tasks_is_accepted_recorded_and_survives_a_new_leader() {
+    let mut w = world(18);
+    w.run_ms = 300;
+    let mut j = job(1, "t1", 100_000, 1.0);
+    j["cores"] = json!(0.5);
+    j["memory_gb"] = json!(0.1);
+    w.accept(0, &j);
+    w.run(60_000);
+    let started = w.starts.len();
+    assert!(started > 100, "{started}");
+    let old = w.leader().unwrap();
+    w.crash(old, 5_000);
+    w.run(20_000);
+    assert!(w.starts.len() > started);
+    assert!(w.status((old + 1) % 3, "run-000001") != "done");
+    w.fair();
+}
+
+#[test]
+fn what_cannot_be_taken_is_answered_at_once_and_names_the_field() {
+    let mut w = world(19);
+    let cases: Vec<(&str, Value, u16)> = vec![
+        ("name_id", json!("job-1"), 400),
+        ("shape", json!("ensemble"), 400),
+        ("urgency", json!("soon"), 400),
+        ("pieces", json!(0), 400),
+        ("pieces", json!(100_001), 400),
+        ("pieces", json!(1.5), 400),
+        ("cores", json!(-1.0), 400),
+        ("cores", json!("many"), 400),
+        ("memory_gb", Value::Null, 400),
+        ("standby", json!("yes"), 400),
+        ("hulltypes", json!([1]), 400),
+        ("due_s", json!(-5), 400),
+        ("crew", json!("nobody"), 422),
+        ("cores", json!(17.0), 422),
+        ("hulltypes", json!(["other"]), 422),
+    ];
+    for (field, value, status) in cases {
+        let mut j = job(7, "t0", 2, 10.0);
+        j[field] = value.clone();
+        let r = w.ask(0, HttpCall::Submit(j.to_string().into_bytes()));
+        w.run(100);
+        let a = &w.answers[&r];
+        assert_eq!(a.status, status, "{field} = {value}: {}", a.body);
+        if status == 400 {
+            assert!(a.body.contains(field), "{}", a.body);
+        }
+    }
+    for body in [&b"not json"[..], b"[1]", b"", b"{}"] {
+        let r = w.ask(0, HttpCall::Submit(body.to_vec()));
+        w.run(100);
+        assert_eq!(w.answers[&r].status, 400);
+    }
+    for id in ["run-000007", "x", "run-", "run-1/2"] {
+        assert_eq!(w.status(1, id), "404");
+    }
+}
+
+#[test]
+fn before_the_types_are_known_users_are_told_to_come_back() {
+    let mut w = World::new(3, 30);
+    w.cloud_down = true;
+    w.run(4_000);
+    let r = w.submit(0, &job(1, "t0", 1, 10.0));
+    w.run(100);
+    assert_eq!((w.answers[&r].status, w.answers[&r].retry_after_s), (503, Some(1)));
+    w.cloud_down = false;
+    w.accept(0, &job(1, "t0", 1, 10.0));
+    assert!(w.until_done("run-000001", 90_000));
+}
+
+#[test]
+fn refused_capacity_is_not_asked_for_in_a_loop() {
+    let mut w = world(31);
+    w.capacity = 1;
+    w.accept(0, &job(1, "t1", 12, 10.0));
+    assert!(w.until_done("run-000001", 300_000));
+    w.fair();
+}
+
+/// Random faults of every kind over the whole service, with the rules as the
+/// oracle. What was accepted has to complete once the faults are over.
+#[test]
+fn random_faults_break_no_rule() {
+    for seed in 0..12 {
+        let mut w = world(100 + seed);
+        w.run_ms = 8_000;
+        let mut ids = Vec::new();
+        for step in 0..60u32 {
+            if step % 5 == 0 && step < 40 {
+                let id = 1 + step;
+                let team = if step % 10 == 0 { "t0" } else { "t1" };
+                let tasks = w.rng.random_range(1..14);
+                let node = w.rng.random_range(0..3);
+                let r = w.submit(node, &job(id, team, tasks, 8.0));
+                w.run(300);
+                if w.answers.get(&r).is_some_and(|a| a.status < 300) {
+                    ids.push(format!("run-{id:06}"));
+                }
+            }
+            match w.rng.random_range(0..14) {
+                0 => {
+                    let n = w.rng.random_range(0..3);
+                    let back = w.rng.random_range(100..6_000);
+                    w.crash(n, back);
+                }
+                1 => w.state.down = !w.state.down,
+                2 => {
+                    let n = w.rng.random_range(0..3);
+                    w.state.refuses.insert(n);
+                }
+                3 => w.state.refuses.clear(),
+                4 => {
+                    let (a, b) = (w.rng.random_range(0..3), w.rng.random_range(0..4));
+                    w.cuts.insert((a, if b == 3 { usize::MAX } else { b }));
+                }
+                5 => w.cuts.clear(),
+                6 if !w.workers.is_empty() => {
+                    let i = w.rng.random_range(0..w.workers.len());
+                    w.workers[i].cut = !w.workers[i].cut;
+                }
+                7 if !w.workers.is_empty() => {
+                    let i = w.rng.random_range(0..w.workers.len());
+                    w.workers[i].alive = false;
+                    let name = w.workers[i].name.clone();
+                    w.returned.push(name);
+                }
+                8 => w.lossy = if w.lossy > 0.0 { 0.0 } else { 0.2 },
+                9 => w.cloud_down = !w.cloud_down,
+                10 if !ids.is_empty() => {
+                    let i = w.rng.random_range(0..ids.len());
+                    let id = ids[i].clone();
+                    w.cancel(0, &id);
+                }
+                _ => {}
+            }
+            let ms = w.rng.random_range(200..4_000);
+            w.run(ms);
+        }
+        w.state.down = false;
+        w.state.refuses.clear();
+        w.cuts.clear();
+        w.lossy = 0.0;
+        w.cloud_down = false;
+        for x in &mut w.workers {
+            x.cut = false;
+        }
+        w.run(60_000);
+        for id in &ids {
+            if !w.cancelled.contains_key(id) {
+                let s = w.state.keys.get(&format!("w/job/{id}")).map(|v| v.0["s"].clone());
+                assert!(
+                    s == Some(json!("c")) || w.until_done(id, 200_000),
+                    "seed {seed}: {id} is stuck as {s:?}"
+                );
+            }
+        }
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", &w.broken[..w.broken.len().min(5)]);
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,862 @@
+//! An in-memory world for stories: state service, cloud, workers, users and a
+//! network, written from the protocol, with simulated time and fixed seeds.
+//! An oracle checks the rules at every start of a task.
+
+#![allow(dead_code)]
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use woadlever::config::{Operator, Platform};
+use woadlever::core::{
+    Answer, CloudOp, CloudResult, Core, HttpCall, Input, Output, StateOp, StateResult,
+};
+use woadlever::wire::peer::Frame;
+use woadlever::wire::state::{Change, Event as StateEvent, Item, Page, Txn, WatchAnswer};
+use woadlever::wire::workers::{Op, Report, ReportAnswer, ReportTask, TaskState};
+
+pub const ZONES: [&str; 2] = ["east", "west"];
+pub const LEASE_MS: u64 = 20_000;
+pub const CANCEL_MS: u64 = 40_000;
+
+pub fn platform(node: usize, nodes: usize) -> Platform {
+    let mut s = format!(
+        "host_name=\"n{node}\"\ndomain=\"{}\"\nbind=\"127.0.0.1:1\"\ninternal_addr=\"127.0.0.1:2\"\n",
+        ZONES[node % 2]
+    );
+    for p in (0..nodes).filter(|p| *p != node) {
+        s += &format!(
+            "[[known]]\nhost_name=\"n{p}\"\ndomain=\"{}\"\nendpoint=\"127.0.0.1:3\"\n",
+            ZONES[p % 2]
+        );
+    }
+    s += "[endpoints]\ncloud=\"127.0.0.1:4\"\nstate=\"127.0.0.1:5\"\n[cluster]\nzones=[\"east\",\"west\"]\n\
+          [[cluster.teams]]\nname=\"t0\"\ncpus=16.0\ncpus_max=32.0\n\
+          [[cluster.teams]]\nname=\"t1\"\ncpus=16.0\ncpus_max=64.0\n\
+          [cluster.workers]\nreport_s=3.0\nlease_s=20.0\ncancel_s=40.0\n\
+          [cluster.state]\nrps=500.0\nwrite_rps=200.0\nvalue_kb=8.0\ntxn_ops=12\n\
+          [cluster.cloud]\nrps=5.0\nlist_lag_s=4.0\n\
+          [cluster.limits]\nmax_connections=800\n";
+    Platform::parse("test.toml", &s).expect("settings")
+}
+
+pub fn job(id: u32, team: &str, tasks: u32, run_s: f64) -> Value {
+    json!({"name_id": format!("run-{id:06}"), "jobclass": "c", "crew": team, "shape": "batch",
+        "urgency": "normal", "pieces": tasks, "cores": 4.0, "cards": 0.0, "memory_gb": 4.0,
+        "hulltypes": null, "yard": null, "one_zone": false, "scatter": false, "standby": true,
+        "bundle": "img", "pull_gb": 0.5, "guess_s": run_s, "bookmark_s": 0.0, "stow_s": 0.0})
+}
+
+// ---- state service ----
+
+#[derive(Default)]
+pub struct State {
+    pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    pub revision: u64,
+    leases: HashMap<u64, (u64, u64)>,
+    next_lease: u64,
+    log: Vec<StateEvent>,
+    /// Changes up to here are no longer kept.
+    pub floor: u64,
+    pub down: bool,
+    pub refuses: HashSet<usize>,
+    watches: Vec<(usize, u64, u64, String, u64, u64)>,
+    pub writes: u64,
+}
+
+impl State {
+    fn change(&mut self, key: &str, value: Option<(Value, Option<u64>)>) {
+        let version = self.revision;
+        let (put, delete) =
+            if value.is_some() { (Some(key.to_string()), None) } else { (None, Some(key.to_string())) };
+        let data = value.as_ref().map_or(Value::Null, |v| v.0.clone());
+        self.log.push(StateEvent { put, delete, value: data, version });
+        match value {
+            Some((v, lease)) => {
+                self.keys.insert(key.into(), (v, version, lease));
+            }
+            None => {
+                self.keys.remove(key);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: u64) {
+        if self.down {
+            // After an outage every lease has its full time again.
+            for l in self.leases.values_mut() {
+                l.1 = now + l.0;
+            }
+            return;
+        }
+        let ended: Vec<u64> =
+            self.leases.iter().filter(|(_, l)| l.1 <= now).map(|(id, _)| *id).collect();
+        for id in ended {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> =
+            self.keys.iter().filter(|(_, v)| v.2 == Some(id)).map(|(k, _)| k.clone()).collect();
+        for k in keys {
+            self.revision += 1;
+            self.change(&k, None);
+        }
+    }
+
+    fn txn(&mut self, t: &Txn) -> StateResult {
+        let failed: Vec<String> = t
+            .conds
+            .iter()
+            .filter(|c| self.keys.get(&c.key).map_or(0, |v| v.1) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
+        for c in &t.changes {
+            if let Change::Put { lease: Some(l), .. } = c
+                && !self.leases.contains_key(l)
+            {
+                return StateResult::NoLease;
+            }
+        }
+        if !failed.is_empty() {
+            return StateResult::Failed(failed);
+        }
+        let bytes = serde_json::to_string(t).map_or(0, |s| s.len());
+        assert!(bytes <= 64 << 10, "transaction of {bytes} bytes");
+        assert!(t.changes.len() <= 12 && t.conds.len() <= 48, "transaction over its limits");
+        self.revision += 1;
+        self.writes += t.changes.len() as u64;
+        for c in &t.changes {
+            match c {
+                Change::Put { key, value, lease } => {
+                    assert!(value.to_string().len() <= 8 << 10, "value over its limit: {key}");
+                    self.change(key, Some((value.clone(), *lease)));
+                }
+                Change::Delete { key } => self.change(key, None),
+            }
+        }
+        StateResult::Done { revision: self.revision }
+    }
+
+    fn run(&mut self, now: u64, op: &StateOp) -> StateResult {
+        match op {
+            StateOp::Get(k) => match self.keys.get(k) {
+                Some((v, s, _)) => {
+                    StateResult::Item(Item { key: k.clone(), value: v.clone(), version: *s })
+                }
+                None => StateResult::Missing,
+            },
+            StateOp::List { prefix, since, most } => {
+                let after = since.clone().unwrap_or_default();
+                let mut items: Vec<Item> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(prefix.as_str()) && **k > after)
+                    .take((*most).min(20) as usize + 1)
+                    .map(|(k, v)| Item { key: k.clone(), value: v.0.clone(), version: v.1 })
+                    .collect();
+                // Small pages, so that every story pages.
+                let more = items.len() > 20;
+                items.truncate(20);
+                StateResult::Page(Page { items, more, revision: self.revision })
+            }
+            StateOp::Txn(t) => self.txn(t),
+            StateOp::Grant { ttl_ms } => {
+                self.next_lease += 1;
+                self.leases.insert(self.next_lease, (*ttl_ms, now + ttl_ms));
+                StateResult::Lease(self.next_lease)
+            }
+            StateOp::Renew(id) => match self.leases.get_mut(id) {
+                Some(l) => {
+                    l.1 = now + l.0;
+                    StateResult::Done { revision: 0 }
+                }
+                None => StateResult::NoLease,
+            },
+            StateOp::Release(id) => {
+                self.end_lease(*id);
+                StateResult::Done { revision: 0 }
+            }
+            StateOp::Watch { .. } => unreachable!("watches are kept by the world"),
+        }
+    }
+
+    fn watch(&self, prefix: &str, since: u64) -> Option<StateResult> {
+        if since < self.floor {
+            return Some(StateResult::TooOld);
+        }
+        let touches = |e: &StateEvent| {
+            let k = e.put.as_ref().or(e.delete.as_ref());
+            e.version > since && k.is_some_and(|k| k.starts_with(prefix))
+        };
+        let events: Vec<StateEvent> = self.log.iter().filter(|e| touches(e)).cloned().collect();
+        (!events.is_empty()).then(|| StateResult::Watch(WatchAnswer { revision: self.revision, events }))
+    }
+}
+
+// ---- workers and cloud ----
+
+pub struct WTask {
+    pub job: String,
+    pub task: u32,
+    pub attempt: u64,
+    pub state: TaskState,
+    pub why: Option<String>,
+    pub at: u64,
+}
+
+pub struct Worker {
+    pub name: String,
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub rented: u64,
+    pub up_at: u64,
+    pub alive: bool,
+    pub cut: bool,
+    pub sick: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub tasks: Vec<WTask>,
+    /// When the last answered report was sent.
+    lease_from: u64,
+    flying: Option<(u64, u64)>,
+    next_at: u64,
+    node: usize,
+    changed: bool,
+}
+
+impl Worker {
+    fn report(&self) -> Report {
+        Report {
+            machine: self.name.clone(),
+            addr: "127.0.0.1:9".into(),
+            machine_type: self.type_name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|t| ReportTask {
+                    task: format!("{}/{}", t.job, t.task),
+                    attempt: t.attempt,
+                    state: t.state,
+                    why: t.why.clone(),
+                })
+                .collect(),
+        }
+    }
+}
+
+enum Ev {
+    StateReq { node: usize, inc: u64, call: u64, op: StateOp, silent: bool },
+    StateRes { node: usize, inc: u64, call: u64, result: StateResult },
+    CloudReq { node: usize, inc: u64, call: u64, op: CloudOp },
+    CloudRes { node: usize, inc: u64, call: u64, result: CloudResult },
+    Frame { to: usize, inc: u64, frame: Frame },
+    Report { worker: usize, id: u64, node: usize, report: Box<Report> },
+    Reply { worker: usize, id: u64, answer: Answer },
+    User { req: u64, answer: Answer },
+}
+
+pub struct World {
+    pub now: u64,
+    pub nodes: Vec<Option<(Core, u64)>>,
+    pub restart_at: Vec<u64>,
+    pub n: usize,
+    pub state: State,
+    pub workers: Vec<Worker>,
+    pub jobs: HashMap<String, Value>,
+    queue: BTreeMap<(u64, u64), Ev>,
+    seq: u64,
+    pub rng: StdRng,
+    /// Nodes that can't reach each other (or `usize::MAX`: the workers).
+    pub cuts: HashSet<(usize, usize)>,
+    pub capacity: usize,
+    pub cloud_down: bool,
+    charters: HashMap<String, Vec<String>>,
+    pub rented: usize,
+    pub returned: Vec<String>,
+    /// Share of state calls whose answer is lost, and that run late.
+    pub lossy: f64,
+    reqs: HashMap<u64, (u64, usize)>,
+    next_req: u64,
+    pub answers: HashMap<u64, Answer>,
+    worker_reqs: HashMap<(usize, u64), (usize, u64)>,
+    pub starts: HashMap<String, u32>,
+    pub cancelled: HashMap<String, u64>,
+    pub broken: Vec<String>,
+    pub run_ms: u64,
+    next_inc: u64,
+    pub reconnects: Vec<(usize, String)>,
+    pub lose_replies: HashSet<usize>,
+}
+
+impl World {
+    pub fn new(nodes: usize, seed: u64) -> World {
+        let mut w = World {
+            now: 1000,
+            nodes: (0..nodes).map(|_| None).collect(),
+            restart_at: vec![0; nodes],
+            n: nodes,
+            state: State::default(),
+            workers: Vec::new(),
+            jobs: HashMap::new(),
+            queue: BTreeMap::new(),
+            seq: 0,
+            rng: StdRng::seed_from_u64(seed),
+            cuts: HashSet::new(),
+            capacity: 12,
+            cloud_down: false,
+            charters: HashMap::new(),
+            rented: 0,
+            returned: Vec::new(),
+            lossy: 0.0,
+            reqs: HashMap::new(),
+            next_req: 1 << 40,
+            answers: HashMap::new(),
+            worker_reqs: HashMap::new(),
+            starts: HashMap::new(),
+            cancelled: HashMap::new(),
+            broken: Vec::new(),
+            run_ms: 10_000,
+            next_inc: 100,
+            reconnects: Vec::new(),
+            lose_replies: HashSet::new(),
+        };
+        for i in 0..nodes {
+            w.boot(i);
+        }
+        w
+    }
+
+    pub fn boot(&mut self, node: usize) {
+        self.next_inc += 1;
+        let inc = self.next_inc;
+        let cfg = Arc::new(platform(node, self.n));
+        let core = Core::new(cfg, Operator::default(), inc, inc * 7, self.now);
+        self.nodes[node] = Some((core, inc));
+    }
+
+    pub fn crash(&mut self, node: usize, back_ms: u64) {
+        self.nodes[node] = None;
+        self.restart_at[node] = self.now + back_ms;
+        self.worker_reqs.retain(|(n, _), _| *n != node);
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let v = self.state.keys.get("w/leader")?;
+        v.0["node"].as_str()?.strip_prefix('n')?.parse().ok()
+    }
+
+    fn push(&mut self, delay: u64, ev: Ev) {
+        self.seq += 1;
+        self.queue.insert((self.now + delay, self.seq), ev);
+    }
+
+    fn step(&mut self, node: usize, input: Input) {
+        let (now, wall) = (self.now, 1_000_000_000 + self.now);
+        let Some((core, inc)) = &mut self.nodes[node] else { return };
+        let inc = *inc;
+        for out in core.step(now, wall, input) {
+            match out {
+                Output::Answer { req, answer } => {
+                    if let Some((worker, id)) = self.worker_reqs.remove(&(node, req)) {
+                        let d = 1 + self.rng.random_range(0..3);
+                        if !self.lose_replies.contains(&worker) {
+                            self.push(d, Ev::Reply { worker, id, answer });
+                        }
+                    } else {
+                        self.push(1, Ev::User { req, answer });
+                    }
+                }
+                Output::State { call, op } => {
+                    let silent = self.lossy > 0.0
+                        && matches!(op, StateOp::Txn(_))
+                        && self.rng.random_range(0.0..1.0) < self.lossy;
+                    // A lost call may still run, seconds later.
+                    let d = if silent { self.rng.random_range(1..8000) } else { 2 };
+                    if silent {
+                        self.push(2000, Ev::StateRes { node, inc, call, result: StateResult::Unknown });
+                    }
+                    self.push(d, Ev::StateReq { node, inc, call, op, silent });
+                }
+                Output::Cloud { call, op } => self.push(50, Ev::CloudReq { node, inc, call, op }),
+                Output::Send { to, frame } => {
+                    let to: usize = to[1..].parse().unwrap();
+                    if !self.cut(node, to)
+                        && let Some((_, inc)) = &self.nodes[to]
+                    {
+                        let inc = *inc;
+                        self.push(2, Ev::Frame { to, inc, frame });
+                    }
+                }
+                Output::Reconnect { to } => self.reconnects.push((node, to)),
+            }
+        }
+    }
+
+    fn cut(&self, a: usize, b: usize) -> bool {
+        self.cuts.contains(&(a, b)) || self.cuts.contains(&(b, a))
+    }
+
+    /// A user's request to one node; the answer shows up in `answers`.
+    pub fn ask(&mut self, node: usize, call: HttpCall) -> u64 {
+        let req = self.next_req;
+        self.next_req += 1;
+        self.reqs.insert(req, (self.now, node));
+        self.step(node, Input::Http { req, call });
+        req
+    }
+
+    pub fn submit(&mut self, node: usize, body: &Value) -> u64 {
+        let id = body["name_id"].as_str().unwrap_or("").to_string();
+        self.jobs.entry(id).or_insert(body.clone());
+        self.ask(node, HttpCall::Submit(body.to_string().into_bytes()))
+    }
+
+    /// Submits until accepted.
+    pub fn accept(&mut self, node: usize, body: &Value) {
+        for _ in 0..60 {
+            let r = self.submit(node, body);
+            self.run(1000);
+            if self.answers.get(&r).is_some_and(|a| a.status == 200 || a.status == 201) {
+                return;
+            }
+        }
+        panic!("not accepted: {body}");
+    }
+
+    pub fn status(&mut self, node: usize, id: &str) -> String {
+        let r = self.ask(node, HttpCall::Status(id.into()));
+        self.run(300);
+        self.answers.get(&r).map_or("none".into(), |a| {
+            let v: Value = serde_json::from_str(&a.body).unwrap_or_default();
+            v["status"].as_str().map_or(format!("{}", a.status), str::to_string)
+        })
+    }
+
+    pub fn until_done(&mut self, id: &str, limit_ms: u64) -> bool {
+        let end = self.now + limit_ms;
+        while self.now < end {
+            self.run(500);
+            if self.state.keys.get(&format!("w/job/{id}")).is_some_and(|v| v.0["s"] == "d") {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            let next = (self.now / 25 + 1) * 25;
+            while let Some(e) = self.queue.first_entry() {
+                if e.key().0 > next {
+                    break;
+                }
+                self.now = self.now.max(e.key().0);
+                let ev = e.remove();
+                self.handle(ev);
+            }
+            self.now = next;
+            self.state.expire(self.now);
+            self.watches();
+            for i in 0..self.n {
+                if self.nodes[i].is_none() && self.now >= self.restart_at[i] {
+                    self.boot(i);
+                }
+                self.step(i, Input::Tick);
+            }
+            self.watches();
+            for i in 0..self.workers.len() {
+                self.worker_tick(i);
+            }
+            self.check();
+        }
+    }
+
+    fn handle(&mut self, ev: Ev) {
+        match ev {
+            Ev::StateReq { node, inc, call, op, silent } => {
+                let refused = self.state.refuses.contains(&node);
+                if let StateOp::Watch { prefix, since, block_ms } = &op {
+                    if self.state.down || refused {
+                        self.push(2, Ev::StateRes { node, inc, call, result: StateResult::NotExecuted });
+                    } else {
+                        let until = self.now + block_ms;
+                        self.state.watches.push((node, inc, call, prefix.clone(), *since, until));
+                    }
+                    return;
+                }
+                if silent {
+                    if !self.state.down {
+                        self.state.run(self.now, &op);
+                    }
+                    return;
+                }
+                let result = if self.state.down || refused {
+                    StateResult::NotExecuted
+                } else {
+                    self.state.run(self.now, &op)
+                };
+                self.push(2, Ev::StateRes { node, inc, call, result });
+            }
+            Ev::StateRes { node, inc, call, result } => {
+                if self.nodes[node].as_ref().is_some_and(|n| n.1 == inc) {
+                    self.step(node, Input::State { call, result });
+                }
+            }
+            Ev::CloudReq { node, inc, call, op } => {
+                let result = self.cloud(op);
+                self.push(50, Ev::CloudRes { node, inc, call, result });
+            }
+            Ev::CloudRes { node, inc, call, result } => {
+                if self.nodes[node].as_ref().is_some_and(|n| n.1 == inc) {
+                    self.step(node, Input::Cloud { call, result });
+                }
+            }
+            Ev::Frame { to, inc, frame } => {
+                if self.nodes[to].as_ref().is_some_and(|n| n.1 == inc) {
+                    self.step(to, Input::Frame(frame));
+                }
+            }
+            Ev::Report { worker, id, node, report } => {
+                if self.nodes[node].is_none() {
+                    return;
+                }
+                let req = self.next_req;
+                self.next_req += 1;
+                self.worker_reqs.insert((node, req), (worker, id));
+                self.step(node, Input::Http { req, call: HttpCall::Checkin(report) });
+            }
+            Ev::Reply { worker, id, answer } => self.worker_reply(worker, id, answer),
+            Ev::User { req, answer } => {
+                self.answers.insert(req, answer);
+            }
+        }
+    }
+
+    fn watches(&mut self) {
+        if self.state.down {
+            return;
+        }
+        let now = self.now;
+        let list = std::mem::take(&mut self.state.watches);
+        for w in list {
+            let found = self.state.watch(&w.3, w.4);
+            let late = (now >= w.5).then(|| {
+                StateResult::Watch(WatchAnswer { revision: self.state.revision, events: vec![] })
+            });
+            let held = self.state.refuses.contains(&w.0);
+            match found.or(late) {
+                Some(result) if !held => {
+                    self.push(1, Ev::StateRes { node: w.0, inc: w.1, call: w.2, result });
+                }
+                _ if now > w.5 + 3000 => {
+                    let result = StateResult::Unknown;
+                    self.push(1, Ev::StateRes { node: w.0, inc: w.1, call: w.2, result });
+                }
+                _ => self.state.watches.push(w),
+            }
+        }
+    }
+
+    fn cloud(&mut self, op: CloudOp) -> CloudResult {
+        if self.cloud_down {
+            return CloudResult::NotExecuted;
+        }
+        match op {
+            CloudOp::Catalog => CloudResult::Catalog(
+                serde_json::from_value(json!({"hulltypes":[{"label":"m16","cores":16,"cards":0,
+                    "memory_gb":64,"cache_gb":50,"pull_gb_per_s":1.0,"price":1.0,"spot_price":0.4,
+                    "ready_s":10,"yards":ZONES}]}))
+                .unwrap(),
+            ),
+            CloudOp::List { since } => {
+                let after = since.unwrap_or_default();
+                let now = self.now;
+                let list: Vec<Value> = self
+                    .workers
+                    .iter()
+                    .filter(|w| w.rented + 4000 <= now && w.name > after)
+                    .filter(|w| !self.returned.contains(&w.name))
+                    .map(|w| {
+                        json!({"name_id":w.name,"hulltype":w.type_name,"yard":w.zone,"standby":w.spot,
+                            "status": if now < w.up_at {"starting"} else {"running"},
+                            "age_s":(now - w.rented) as f64 / 1000.0})
+                    })
+                    .collect();
+                CloudResult::Page(
+                    serde_json::from_value(json!({"hulls":list,"has_next":false})).unwrap(),
+                )
+            }
+            CloudOp::Rent(r) => {
+                if let Some(old) = self.charters.get(&r.request) {
+                    return CloudResult::Rented(serde_json::from_value(json!({"hulls":old})).unwrap());
+                }
+                let up = self.workers.iter().filter(|w| !self.returned.contains(&w.name)).count();
+                let n = (r.count as usize).min(self.capacity.saturating_sub(up));
+                if n == 0 {
+                    return CloudResult::NoCapacity;
+                }
+                let mut names = Vec::new();
+                for _ in 0..n {
+                    self.rented += 1;
+                    let boot = self.rng.random_range(6_000..15_000);
+                    names.push(self.add_worker(self.rented, &r.zone, r.spot, boot));
+                }
+                self.charters.insert(r.request, names.clone());
+                CloudResult::Rented(serde_json::from_value(json!({"hulls":names})).unwrap())
+            }
+            CloudOp::Return(r) => {
+                for name in r.machines {
+                    if let Some(w) = self.workers.iter_mut().find(|w| w.name == name) {
+                        w.alive = false;
+                        w.tasks.clear();
+                    }
+                    self.returned.push(name);
+                }
+                CloudResult::Returned
+            }
+        }
+    }
+
+    pub fn add_worker(&mut self, number: usize, zone: &str, spot: bool, boot: u64) -> String {
+        let name = format!("host-{number:06}");
+        let up_at = self.now + boot;
+        self.workers.push(Worker {
+            name: name.clone(),
+            type_name: "m16".into(),
+            zone: zone.into(),
+            spot,
+            rented: self.now,
+            up_at,
+            alive: true,
+            cut: false,
+            sick: false,
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: Vec::new(),
+            lease_from: up_at,
+            flying: None,
+            next_at: up_at,
+            node: number % self.n,
+            changed: false,
+        });
+        name
+    }
+
+    fn worker_tick(&mut self, i: usize) {
+        let now = self.now;
+        let jitter = self.rng.random_range(0..1500);
+        let w = &mut self.workers[i];
+        if !w.alive || now < w.up_at {
+            return;
+        }
+        if now > w.lease_from + LEASE_MS {
+            w.tasks.clear();
+            w.session += 1;
+            w.seq = 0;
+            w.lease_from = now;
+            w.flying = None;
+        }
+        let mut started = Vec::new();
+        for t in &mut w.tasks {
+            if t.state == TaskState::Fetching && now >= t.at {
+                t.state = TaskState::Running;
+                t.at = now + self.run_ms;
+                started.push((t.job.clone(), t.task));
+                w.changed = true;
+                if w.sick {
+                    t.state = TaskState::Exited;
+                    t.why = Some("error".into());
+                }
+            } else if t.state == TaskState::Running && now >= t.at {
+                t.state = TaskState::Exited;
+                t.why = Some("done".into());
+                w.changed = true;
+            }
+        }
+        if let Some((_, sent)) = w.flying
+            && now > sent + 4000
+        {
+            w.flying = None;
+            w.node = (w.node + 1) % self.n;
+            w.next_at = now + 1000;
+        }
+        if w.flying.is_none() && (now >= w.next_at || w.changed && now + 2500 >= w.next_at) && !w.cut {
+            w.changed = false;
+            w.seq += 1;
+            let id = self.seq + 1;
+            w.flying = Some((id, now));
+            w.next_at = now + 2250 + jitter;
+            let (node, report) = (w.node, Box::new(w.report()));
+            if !self.cut(node, usize::MAX) {
+                self.push(2, Ev::Report { worker: i, id, node, report });
+            }
+        }
+        for (job, task) in started {
+            self.started(i, &job, task);
+        }
+    }
+
+    fn worker_reply(&mut self, i: usize, id: u64, answer: Answer) {
+        let now = self.now;
+        let n = self.n;
+        let w = &mut self.workers[i];
+        let Some((_, sent)) = w.flying.filter(|f| f.0 == id) else { return };
+        if !w.alive || w.cut {
+            return;
+        }
+        w.flying = None;
+        if answer.status == 421 {
+            let r: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+            let to = r["foreman"].as_str().and_then(|s| s[1..].parse().ok());
+            w.node = to.unwrap_or((w.node + 1) % n);
+            w.next_at = now + 100;
+            return;
+        }
+        if answer.status != 200 {
+            w.node = (w.node + 1) % n;
+            w.next_at = now + 1000;
+            return;
+        }
+        let a: ReportAnswer = serde_json::from_str(&answer.body).expect("answer to a report");
+        if a.token < w.token {
+            return;
+        }
+        w.changed |= a.token > w.token;
+        w.token = a.token;
+        w.lease_from = w.lease_from.max(sent);
+        for c in a.commands {
+            let Some((job, task)) = c.task.rsplit_once('/') else { continue };
+            let task: u32 = task.parse().unwrap();
+            let found =
+                w.tasks.iter().position(|t| t.job == job && t.task == task && t.attempt == c.attempt);
+            match (c.op, found) {
+                (Op::Start, None) => {
+                    let busy = w
+                        .tasks
+                        .iter()
+                        .any(|t| t.job == job && t.task == task && t.state != TaskState::Exited);
+                    w.tasks.push(WTask {
+                        job: job.into(),
+                        task,
+                        attempt: c.attempt,
+                        state: if busy { TaskState::Exited } else { TaskState::Fetching },
+                        why: busy.then(|| "in_use".into()),
+                        at: now + 500,
+                    });
+                    w.changed = true;
+                }
+                (Op::Stop, Some(t)) if w.tasks[t].state != TaskState::Exited => {
+                    w.tasks[t].state = TaskState::Exited;
+                    w.tasks[t].why = Some("halted".into());
+                    w.changed = true;
+                }
+                (Op::Forget, Some(t)) if w.tasks[t].state == TaskState::Exited => {
+                    w.tasks.remove(t);
+                    w.changed = true;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    // ---- the rules ----
+
+    fn started(&mut self, worker: usize, job: &str, task: u32) {
+        *self.starts.entry(format!("{job}/{task}")).or_default() += 1;
+        for (i, w) in self.workers.iter().enumerate() {
+            let there = |t: &WTask| {
+                t.job == job
+                    && t.task == task
+                    && matches!(t.state, TaskState::Running | TaskState::Saving)
+            };
+            if i != worker && w.alive && w.tasks.iter().any(there) {
+                self.broken.push(format!("{} ran_twice {job}/{task}", self.now));
+            }
+        }
+        let Some(spec) = self.jobs.get(job) else {
+            self.broken.push(format!("started an unknown job {job}"));
+            return;
+        };
+        let w = &self.workers[worker];
+        if (spec["standby"] == false && w.spot) || spec["yard"].as_str().is_some_and(|y| y != w.zone) {
+            self.broken.push(format!("{} wrong_place {job}/{task}", self.now));
+        }
+        let (one, scatter) = (spec["one_zone"] == true, spec["scatter"] == true);
+        let total = spec["pieces"].as_u64().unwrap_or(0);
+        let mut zones: HashMap<&str, u64> = HashMap::new();
+        let mut used: HashMap<&str, f64> = HashMap::new();
+        for w in self.workers.iter().filter(|w| w.alive) {
+            for t in w.tasks.iter().filter(|t| matches!(t.state, TaskState::Running | TaskState::Saving))
+            {
+                if t.job == job {
+                    *zones.entry(&w.zone).or_default() += 1;
+                }
+                if let Some(s) = self.jobs.get(&t.job) {
+                    *used.entry(s["crew"].as_str().unwrap()).or_default() +=
+                        s["cores"].as_f64().unwrap();
+                }
+            }
+        }
+        if one && zones.len() > 1 || scatter && zones.values().any(|n| *n > total.div_ceil(2)) {
+            self.broken.push(format!("{} wrong_place (zones) {job}/{task}", self.now));
+        }
+        for (team, limit) in [("t0", 32.0), ("t1", 64.0)] {
+            if used.get(team).is_some_and(|u| *u > limit) {
+                self.broken.push(format!("{} quota {team}", self.now));
+            }
+        }
+    }
+
+    fn check(&mut self) {
+        for (job, at) in &self.cancelled {
+            if self.now > at + CANCEL_MS
+                && self.workers.iter().any(|w| {
+                    w.alive && w.tasks.iter().any(|t| t.job == *job && t.state != TaskState::Exited)
+                })
+            {
+                self.broken.push(format!("{} ran_cancelled {job}", self.now));
+            }
+        }
+        for (id, spec) in &self.jobs {
+            let Some(v) = self.state.keys.get(&format!("w/job/{id}")) else { continue };
+            if v.0["s"] == "d" {
+                for t in 0..spec["pieces"].as_u64().unwrap_or(0).min(200) {
+                    if !self.starts.contains_key(&format!("{id}/{t}")) {
+                        self.broken.push(format!("{} not_done {id}/{t}", self.now));
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn cancel(&mut self, node: usize, id: &str) -> u16 {
+        let r = self.ask(node, HttpCall::Cancel(id.into()));
+        self.run(500);
+        let a = self.answers.get(&r).cloned();
+        if let Some(a) = &a
+            && a.body.contains("withdrawn")
+        {
+            self.cancelled.entry(id.into()).or_insert(self.now);
+        }
+        a.map_or(0, |a| a.status)
+    }
+
+    pub fn fair(&self) {
+        assert!(self.broken.is_empty(), "rules broken: {:?}", &self.broken[..self.broken.len().min(5)]);
+    }
+}
--- /dev/null
+++ b/tests/units.rs
@@ -0,0 +1,174 @@
+//! Small parts on their own: settings, formats, forecast and projection.
+
+use std::collections::BTreeMap;
+use woadlever::config::{Operator, Platform};
+use woadlever::core::forecast::History;
+use woadlever::core::model::{Res, TaskSet, block_of, blocks_of, split_task};
+use woadlever::core::window::{Booking, project, remaining_s};
+use woadlever::wire::peer::{Beat, Body, Frame};
+use woadlever::wire::workers::{Report, TaskState};
+
+const PLATFORM: &str = r#"
+host_name = "a"
+domain = "z"
+bind = "127.0.0.1:1"
+internal_addr = "127.0.0.1:2"
+novelty = 3
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[cluster]
+zones = ["z"]
+[cluster.workers]
+report_s = 3.0
+lease_s = 27.0
+cancel_s = 52.0
+[cluster.state]
+rps = 150.0
+write_rps = 20.0
+value_kb = 8.0
+txn_ops = 12
+[cluster.cloud]
+rps = 3.0
+list_lag_s = 4.0
+[cluster.limits]
+max_connections = 800
+"#;
+
+#[test]
+fn platform_settings_ignore_what_is_new_and_name_what_is_wrong() {
+    assert!(Platform::parse("f", PLATFORM).is_ok());
+    for (from, to, names) in [
+        ("lease_s = 27.0", "lease_s = -1.0", "cluster.workers.lease_s"),
+        ("lease_s = 27.0", "", "lease_s"),
+        ("cancel_s = 52.0", "cancel_s = 20.0", "cluster.workers.cancel_s"),
+        ("txn_ops = 12", "txn_ops = \"x\"", "txn_ops"),
+        ("bind = \"127.0.0.1:1\"", "bind = \"nowhere\"", "bind"),
+        ("rps = 150.0", "rps = nan", "cluster.state.rps"),
+    ] {
+        let e = Platform::parse("f", &PLATFORM.replacen(from, to, 1)).unwrap_err().to_string();
+        assert!(e.starts_with("f: ") && e.contains(names), "{e}");
+        assert_eq!(e.lines().count(), 1, "{e}");
+    }
+}
+
+#[test]
+fn authority_ends_early_enough_for_every_lease_to_end_within_a_cancellation() {
+    let p = Platform::parse("f", PLATFORM).unwrap();
+    let d = p.authority_ms(&Operator::default()) as f64 / 1000.0;
+    assert!(d > 5.0 && d + 27.0 * 1.001 + 1.0 < 52.0, "{d}");
+}
+
+#[test]
+fn operator_settings_take_known_keys_only() {
+    let op = Operator::parse("o", "[forecast]\nwindow_s = 45\n").unwrap();
+    assert_eq!(op.window_s, 45.0);
+    for text in ["[forecast]\nwindow = 45\n", "[forecast]\nwindow_s = soon\n", "[other]\nx = 1\n"] {
+        let e = Operator::parse("o", text).unwrap_err().to_string();
+        assert!(e.starts_with("o: ["), "{e}");
+    }
+}
+
+#[test]
+fn a_task_set_survives_being_written_in_chunks() {
+    let mut s = TaskSet::with_room(100_000);
+    for t in [0, 1, 63, 64, 16_383, 16_384, 70_000, 99_999] {
+        assert!(s.insert(t) && !s.insert(t));
+    }
+    let mut back = TaskSet::with_room(100_000);
+    for chunk in 0..7 {
+        let text = s.to_hex(chunk * 256, chunk * 256 + 256);
+        assert!(text.len() <= 4096);
+        back.add_hex(chunk * 256, &text);
+    }
+    assert_eq!(s, back);
+    assert!(!back.insert(200_000), "beyond the job's tasks");
+    back.add_hex(0, "zz not hex");
+}
+
+#[test]
+fn every_zone_has_a_block_and_every_machine_falls_into_one() {
+    let zones: Vec<String> = ["a", "b", "c"].map(String::from).to_vec();
+    let nodes: Vec<(String, String)> =
+        [("n0", "a"), ("n1", "a"), ("n2", "b")].map(|(n, z)| (n.into(), z.into())).to_vec();
+    let blocks = blocks_of(&zones, &nodes);
+    assert_eq!(blocks.len(), 4);
+    let in_a: Vec<u32> =
+        (0..4).map(|i| block_of(&blocks, "a", &format!("host-{i:06}")).unwrap()).collect();
+    assert!(in_a[0] != in_a[1] && in_a[0] == in_a[2]);
+    assert!(block_of(&blocks, "c", "host-000001").is_some());
+    assert!(block_of(&blocks, "elsewhere", "host-000001").is_none());
+    assert_eq!(split_task("run-000412/3"), Some(("run-000412", 3)));
+    assert_eq!(split_task("run-000412"), None);
+}
+
+#[test]
+fn frames_come_back_as_sent_and_garbage_does_not() {
+    let f = Frame {
+        from: "n1".into(),
+        incarnation: 9,
+        body: Body::Beat(Beat { state_age_ms: 12, counts: vec![("run-000001".into(), 1, 2)] }),
+    };
+    let bytes = bitcode::encode(&f);
+    assert_eq!(bitcode::decode::<Frame>(&bytes).unwrap(), f);
+    assert!(bitcode::decode::<Frame>(&bytes[..bytes.len() - 2]).is_err());
+    assert!(bitcode::decode::<Frame>(&[0xff; 40]).is_err());
+}
+
+#[test]
+fn reports_may_leave_out_what_may_be_null_and_carry_what_is_new() {
+    let r: Report = serde_json::from_str(
+        r#"{"hull":"host-1","endpoint":"e","hulltype":"g","yard":"a","shift":1,"tally":2,"new":{},
+            "pieces":[{"piece":"run-1/0","try":1,"status":"pondering"}]}"#,
+    )
+    .unwrap();
+    assert_eq!((r.token, r.notice_s, r.tasks[0].state), (0, None, TaskState::Other));
+    assert!(serde_json::from_str::<Report>(r#"{"hull":"host-1"}"#).is_err());
+}
+
+fn booking(ran: u64, expected: u64) -> Booking {
+    Booking { need: Res { cpus: 4.0, gpus: 0.0, mem: 1.0 }, ran_ms: ran, expected_ms: expected }
+}
+
+#[test]
+fn projection_extends_overrunning_tasks_and_counts_overloaded_steps() {
+    let op = Operator::default();
+    assert_eq!(remaining_s(&op, &booking(4_000, 10_000)), 6.0);
+    // Past its estimate: extended by a fifth of it, again and again.
+    assert!((remaining_s(&op, &booking(10_500, 10_000)) - 1.5).abs() < 1e-9);
+    assert!((remaining_s(&op, &booking(12_500, 10_000)) - 1.5).abs() < 1e-9);
+    let room = Res { cpus: 8.0, gpus: 0.0, mem: 64.0 };
+    let none = Res::default();
+    let full = [booking(0, 9_000), booking(0, 9_000)];
+    let p = project(&op, &room, &full, &none);
+    assert_eq!((p.peak, p.overloaded), (1.0, false), "9 of 100 steps are no overload");
+    let longer = [booking(0, 11_000), booking(0, 11_000)];
+    assert!(project(&op, &room, &longer, &none).overloaded);
+    let waiting = Res { cpus: 4.0, gpus: 0.0, mem: 1.0 };
+    assert!(project(&op, &room, &[booking(0, 50_000)], &waiting).overloaded);
+    assert!(!project(&op, &room, &[], &waiting).overloaded);
+}
+
+/// A rise at the start of a day is no season: it must not come back as a
+/// forecast when demand is over.
+#[test]
+fn a_season_counts_once_it_was_seen_twice() {
+    let mut h = History::default();
+    let put = |h: &mut History, v: f64| h.record(&BTreeMap::from([("k".to_string(), v)]), 10);
+    assert_eq!(h.expect("k", 10, 0.4), None);
+    for _ in 0..9 {
+        put(&mut h, 8.0);
+    }
+    assert!((h.expect("k", 10, 0.4).unwrap() - 8.0).abs() < 0.1);
+    for _ in 0..10 {
+        put(&mut h, 0.0);
+    }
+    assert!(h.expect("k", 10, 0.4).unwrap() < 0.2);
+    put(&mut h, 0.0);
+    assert!(h.expect("k", 10, 0.4).unwrap() > 1.0, "the next window was busy two seasons ago");
+    for _ in 0..500 {
+        put(&mut h, 1.0);
+    }
+    assert!(serde_json::to_string(&h).unwrap().len() < 2000);
+    assert_eq!(h.expect("other", 10, 0.4), None);
+}
