--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -194,7 +194,8 @@
             e.version > since && k.is_some_and(|k| k.starts_with(prefix))
         };
         let events: Vec<StateEvent> = self.log.iter().filter(|e| touches(e)).cloned().collect();
-        (!events.is_empty()).then(|| StateResult::Watch(WatchAnswer { revision: self.revision, events }))
+        (!events.is_empty())
+            .then_some(StateResult::Watch(WatchAnswer { revision: self.revision, events }))
     }
 }
 
