Answer reports of machines with room at the moment work appears

Cause: an idle machine learnt of its work up to 3 s late, with its next report. Now the answer waits for work, at most 2.5 s on an idle machine and 0.5 s on one with tasks.

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -23,6 +23,9 @@
 /// Sooner than this no second picture of a block is sent.
 const HAVE_GAP_MS: Ms = 60;
 const HAVE_EVERY_MS: Ms = 1_000;
+/// Reports of machines with room wait for work, so long at most.
+const HOLD_IDLE_MS: Ms = 2_500;
+const HOLD_BUSY_MS: Ms = 500;
 /// How long a picture from the leader may wait for jobs that the watch has
 /// yet to bring.
 const WANT_WAIT_MS: Ms = 2_000;
@@ -167,6 +170,15 @@
     stale: Option<Ms>,
     /// Told by its lease or by the cloud.
     dead: bool,
+    held: Option<Held>,
+}
+
+/// A report that waits for its answer.
+#[derive(Debug)]
+struct Held {
+    req: u64,
+    until: Ms,
+    commands: Vec<Command>,
 }
 
 impl Machine {
@@ -231,8 +243,10 @@
                 continue;
             }
             for m in self.machines.iter_mut() {
-                if m.as_ref().is_some_and(|m| m.block == b as u32) {
-                    *m = None;
+                if m.as_ref().is_some_and(|m| m.block == b as u32)
+                    && let Some(held) = m.take().and_then(|m| m.held)
+                {
+                    sh.busy(held.req, "the block went to another holder");
                 }
             }
             self.blocks[b] = granted.map(|grant| {
@@ -286,6 +300,7 @@
             self.project(sh);
         }
         self.write_places(sh);
+        self.answer_due(sh);
         self.tell_leader(sh);
     }
 
@@ -326,6 +341,7 @@
             peak: 0.0,
             stale: None,
             dead: false,
+            held: None,
         }
     }
 
@@ -359,6 +375,7 @@
             m.last_report = old.last_report;
             m.last_answer = old.last_answer;
             m.fenced = old.fenced;
+            m.held = old.held;
         }
         self.machines[ix as usize] = Some(m);
     }
@@ -521,12 +538,15 @@
         true
     }
 
-    fn forget_machine(&mut self, sh: &Shared, name: &str, block: u32) {
+    fn forget_machine(&mut self, sh: &mut Shared, name: &str, block: u32) {
         if !self.gone.insert(name.to_string()) {
             return;
         }
         let Some(ix) = self.names.get(name) else { return };
         let Some(m) = self.machines.get_mut(ix as usize).and_then(Option::take) else { return };
+        if let Some(held) = &m.held {
+            sh.busy(held.req, "this machine has been returned");
+        }
         if let Some(h) = &self.blocks[block as usize] {
             self.drops.push((m.key(sh), block, h.grant));
         }
@@ -768,7 +788,9 @@
         let ix = self.machine_put(&r.machine) as usize;
         let m = self.machines[ix].get_or_insert_with(|| Self::blank(&r.machine, b, grant));
         if m.grant != grant || m.block != b {
+            let held = m.held.take();
             *m = Self::blank(&r.machine, b, grant);
+            m.held = held;
         }
         if (r.session, r.seq) <= (m.session, m.seq) {
             return sh.busy(req, "a newer report is known");
@@ -784,16 +806,55 @@
         m.notice = r.notice_s.is_some();
         m.last_report = Some(sh.now);
         m.fenced |= r.token >= grant;
+        // The worker has given the earlier report up.
+        let stale = m.held.take();
         let mut commands = Vec::new();
         if load == Load::Done {
             read_tasks(sh, m, &r.tasks, new_session, &mut commands);
-            orders(sh, m, &mut commands);
         }
-        m.last_answer = Some(sh.now);
+        let hold = if load == Load::Done && commands.is_empty() { hold_ms(sh, m) } else { 0 };
+        m.held = Some(Held { req, until: sh.now + hold, commands });
         if let Some(h) = &mut self.blocks[b as usize] {
             h.dirty = true;
         }
-        sh.answer_json(req, 200, &ReportAnswer { token: grant, commands });
+        if let Some(old) = stale {
+            sh.busy(old.req, "a newer report is known");
+        }
+        if hold == 0 {
+            self.answer_held(sh, ix);
+        }
+    }
+
+    /// Answers the report that a machine waits with. What is ordered is
+    /// decided now, on what is known now.
+    fn answer_held(&mut self, sh: &mut Shared, ix: usize) {
+        let Some(m) = self.machines[ix].as_mut() else { return };
+        let Some(held) = m.held.take() else { return };
+        let holds = self.blocks[m.block as usize].as_ref().is_some_and(|h| h.grant == m.grant);
+        if !holds || !sh.has_authority() {
+            return sh.busy(held.req, "no proof of authority");
+        }
+        let mut commands = held.commands;
+        orders(sh, m, &mut commands);
+        m.last_answer = Some(sh.now);
+        sh.answer_json(held.req, 200, &ReportAnswer { token: m.grant, commands });
+    }
+
+    /// Held reports are answered at the moment that work appears for their
+    /// machine, or when their time is over.
+    fn answer_due(&mut self, sh: &mut Shared) {
+        for ix in 0..self.machines.len() {
+            let Some(m) = &self.machines[ix] else { continue };
+            let Some(h) = &m.held else { continue };
+            let work = m.attempts.iter().any(|a| match a.st {
+                St::Bound => a.written && a.want && a.sent.is_none(),
+                St::Fetching | St::Running => !a.want || sh.job(a.job).state == JobState::Cancelled,
+                _ => false,
+            });
+            if work || sh.now >= h.until {
+                self.answer_held(sh, ix);
+            }
+        }
     }
 
     /// Machines whose lease has surely ended hold nothing any more.
@@ -919,6 +980,28 @@
     }
 }
 
+/// How long a report may wait for work. A machine with room gets new work the
+/// sooner; one with tasks also has their ends to tell, so it waits less. The
+/// worker gives up after 4 s.
+fn hold_ms(sh: &Shared, m: &Machine) -> Ms {
+    if !m.takes_tasks(sh.now) {
+        return 0;
+    }
+    let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { return 0 };
+    let ready = m.attempts.iter().any(|a| a.st == St::Bound && a.written && a.want);
+    let ended = m.attempts.iter().any(|a| a.st.ended() && !a.want);
+    if ready || ended {
+        return 0;
+    }
+    if m.attempts.is_empty() {
+        HOLD_IDLE_MS
+    } else if m.used().share_of(&t.room) < 0.95 {
+        HOLD_BUSY_MS
+    } else {
+        0
+    }
+}
+
 fn redirect(sh: &mut Shared, req: u64, block: u32) {
     let holder = sh.block_recs[block as usize].as_ref().map(|(r, _)| r.node.clone());
     match holder {
