--- a/src/config.rs
+++ b/src/config.rs
@@ -151,7 +151,7 @@
 impl Default for Operator {
     fn default() -> Self {
         Operator {
-            window_s: 20.0,
+            window_s: 10.0,
             season: 90,
             smoothing: 0.4,
             overload_level: 0.95,
