Fix: the first report seen by a new holder is no new session

A story with a late report found it: after a change of holder the first report dropped every inherited attempt that it did not list, even one that was under way before the task started. Now absence counts only once the worker shows our token or really begins a new session. Stories for invariants 1, 3 and 5.

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -795,7 +795,9 @@
         if (r.session, r.seq) <= (m.session, m.seq) {
             return sh.busy(req, "a newer report is known");
         }
-        let new_session = r.session > m.session;
+        // The first report that this holder sees is no new session: it may be
+        // one that was under way before the tasks on record were started.
+        let new_session = m.session != 0 && r.session > m.session;
         m.dead = false;
         m.addr = r.addr;
         m.type_name = r.machine_type;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -76,27 +76,149 @@
     w.fair();
 }
 
+/// Jobs in both zones, so that several nodes hold busy machines.
+fn busy_world(seed: u64) -> World {
+    let mut w = world(seed);
+    w.run_ms = 600_000;
+    for (id, zone) in [(1, "east"), (2, "west")] {
+        let mut j = job(id, "t1", 8, 600.0);
+        j["yard"] = json!(zone);
+        w.accept(0, &j);
+    }
+    w.run(40_000);
+    assert_eq!(w.starts.len(), 16);
+    w
+}
+
+/// A busy machine whose holder is not the leader.
+fn busy_machine(w: &World) -> (usize, usize) {
+    let leader = w.leader().unwrap();
+    (0..w.workers.len())
+        .filter(|i| !w.workers[*i].tasks.is_empty())
+        .map(|i| (i, w.holder_of(i)))
+        .find(|(_, h)| *h != leader)
+        .expect("a busy machine held by a follower")
+}
+
 /// Invariant 5: a holder cut off from all but its workers must let their
 /// leases end before a cancellation that it never saw is overdue.
 #[test]
 fn a_holder_cut_off_from_all_but_its_workers_keeps_nothing_cancelled() {
-    let mut w = world(5);
-    w.run_ms = 600_000;
-    w.accept(0, &job(1, "t1", 12, 600.0));
-    w.run(40_000);
-    let leader = w.leader().unwrap();
-    let victim = (leader + 1) % 3;
+    let mut w = busy_world(5);
+    let (_, victim) = busy_machine(&w);
     for other in (0..3).filter(|n| *n != victim) {
         w.cuts.insert((victim, other));
     }
     w.state.refuses.insert(victim);
-    // Its workers reach it alone.
     w.run(500);
-    assert_eq!(w.cancel(leader, "run-000001"), 200);
+    let leader = w.leader().unwrap();
+    for id in ["run-000001", "run-000002"] {
+        assert_eq!(w.cancel(leader, id), 200);
+    }
     w.run(120_000);
     w.fair();
 }
 
+/// Invariant 1, the block's grant: a holder whose write is slow, and that has
+/// not heard that its block went elsewhere, must not get the write through.
+#[test]
+fn a_slow_write_of_a_former_holder_fails() {
+    let mut w = world(40);
+    w.run_ms = 60_000;
+    let mut j = job(1, "t1", 4, 60.0);
+    j["yard"] = json!("west");
+    w.accept(0, &j);
+    w.run(30_000);
+    // n1 alone is at home in the west.
+    let leader = w.leader().unwrap();
+    if leader == 1 {
+        w.crash(1, 200);
+        w.run(9_000);
+    }
+    assert_ne!(w.leader().unwrap(), 1);
+    w.slow.insert(1, 8_000);
+    let mut k = job(2, "t1", 6, 60.0);
+    k["yard"] = json!("west");
+    let at = w.leader().unwrap();
+    w.submit(at, &k);
+    w.run(9_000);
+    for other in [0, 2] {
+        w.cuts.insert((1, other));
+    }
+    w.run(40_000);
+    w.slow.clear();
+    w.cuts.clear();
+    assert!(w.until_done("run-000002", 250_000));
+    w.fair();
+}
+
+/// Invariant 1, the term: a binding granted by a former leader, written late,
+/// must not stand beside what the new leader has granted since.
+#[test]
+fn a_slow_write_for_a_former_leader_fails() {
+    for seed in 0..3 {
+        let mut w = busy_world(41 + seed);
+        let (_, holder) = busy_machine(&w);
+        let leader = w.leader().unwrap();
+        w.run_ms = 30_000;
+        w.slow.insert(holder, 9_000);
+        w.submit(leader, &job(3, "t1", 16, 30.0));
+        w.run(400);
+        w.crash(leader, 60_000);
+        w.run(40_000);
+        w.slow.clear();
+        w.run(60_000);
+        w.fair();
+    }
+}
+
+/// Invariant 3: a report from before the task started, arriving late at a new
+/// holder, proves nothing about the task.
+#[test]
+fn a_late_report_is_no_proof_of_absence() {
+    let mut w = busy_world(44);
+    let (m, holder) = busy_machine(&w);
+    let mut old = w.workers[m].report();
+    old.tasks.clear();
+    old.seq = 1;
+    old.token = 0;
+    w.workers[m].cut = true;
+    w.crash(holder, 30_000);
+    w.run(6_000);
+    let now = w.holder_of(m);
+    assert_ne!(now, holder);
+    w.late_report(now, old);
+    w.run(3_000);
+    w.workers[m].cut = false;
+    w.run(30_000);
+    w.fair();
+    assert!(w.starts.values().all(|n| *n == 1), "given up on the word of a late report");
+}
+
+/// Records may list an older attempt, gone long ago, beside the newer one that
+/// runs. When the older one's machine is given up, the task stays where it is.
+#[test]
+fn a_stale_record_of_an_older_attempt_starts_nothing() {
+    let mut w = busy_world(45);
+    let (m, _) = busy_machine(&w);
+    let key = w.place_key(m).unwrap();
+    let old = w.state.keys[&key].0.clone();
+    w.workers[m].alive = false;
+    w.run(60_000);
+    let again: u32 = w.starts.values().filter(|n| **n == 2).count() as u32;
+    assert!(again > 0, "its tasks run elsewhere now");
+    // A late write brings the old record back.
+    w.state.revision += 1;
+    let revision = w.state.revision;
+    w.state.keys.insert(key, (old, revision, None));
+    for n in 0..3 {
+        w.crash(n, 1_000);
+    }
+    w.run(90_000);
+    w.fair();
+    assert!(w.starts.values().all(|n| *n <= 2), "{:?}", w.starts);
+}
+
 #[test]
 fn a_restart_of_all_nodes_keeps_running_tasks_and_forgets_nothing() {
     let mut w = world(6);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -233,7 +233,7 @@
 }
 
 impl Worker {
-    fn report(&self) -> Report {
+    pub fn report(&self) -> Report {
         Report {
             machine: self.name.clone(),
             addr: "127.0.0.1:9".into(),
@@ -300,6 +300,8 @@
     next_inc: u64,
     pub reconnects: Vec<(usize, String)>,
     pub lose_replies: HashSet<usize>,
+    /// Nodes whose calls to the state service take so long.
+    pub slow: HashMap<usize, u64>,
 }
 
 impl World {
@@ -333,6 +335,7 @@
             next_inc: 100,
             reconnects: Vec::new(),
             lose_replies: HashSet::new(),
+            slow: HashMap::new(),
         };
         for i in 0..nodes {
             w.boot(i);
@@ -385,7 +388,8 @@
                         && matches!(op, StateOp::Txn(_))
                         && self.rng.random_range(0.0..1.0) < self.lossy;
                     // A lost call may still run, seconds later.
-                    let d = if silent { self.rng.random_range(1..8000) } else { 2 };
+                    let slow = self.slow.get(&node).copied().unwrap_or(0);
+                    let d = slow + if silent { self.rng.random_range(1..8000) } else { 2 };
                     if silent {
                         self.push(2000, Ev::StateRes { node, inc, call, result: StateResult::Unknown });
                     }
@@ -425,6 +429,32 @@
         self.ask(node, HttpCall::Submit(body.to_string().into_bytes()))
     }
 
+    /// A report that was under way for a long time reaches a node after all.
+    pub fn late_report(&mut self, node: usize, report: Report) {
+        let req = self.next_req;
+        self.next_req += 1;
+        self.step(node, Input::Http { req, call: HttpCall::Checkin(Box::new(report)) });
+    }
+
+    /// The node that holds a machine's block, as the records say.
+    pub fn holder_of(&self, worker: usize) -> usize {
+        let cfg = platform(0, self.n);
+        let mut nodes: Vec<(String, String)> =
+            cfg.peers.iter().map(|p| (p.node.clone(), p.zone.clone())).collect();
+        nodes.push((cfg.node.clone(), cfg.zone.clone()));
+        let blocks = woadlever::core::model::blocks_of(&cfg.cluster.zones, &nodes);
+        let w = &self.workers[worker];
+        let b = woadlever::core::model::block_of(&blocks, &w.zone, &w.name).unwrap();
+        let rec = &self.state.keys[&format!("w/block/{}", blocks[b as usize].name)].0;
+        rec["node"].as_str().unwrap()[1..].parse().unwrap()
+    }
+
+    /// The key of a machine's record.
+    pub fn place_key(&self, worker: usize) -> Option<String> {
+        let name = &self.workers[worker].name;
+        self.state.keys.keys().find(|k| k.starts_with("place/") && k.ends_with(name.as_str())).cloned()
+    }
+
     /// Submits until accepted.
     pub fn accept(&mut self, node: usize, body: &Value) {
         for _ in 0..60 {
