--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -637,6 +637,7 @@
                 counts,
                 history: self.fleet.history.clone(),
                 ratios: self.ratios.clone(),
+                long: self.long.clone(),
             };
             self.save_fleet(sh, rec);
         }
