--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -637,7 +637,6 @@
                 counts,
                 history: self.fleet.history.clone(),
                 ratios: self.ratios.clone(),
-                long: self.long.clone(),
             };
             self.save_fleet(sh, rec);
         }
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -92,14 +92,13 @@
         }
         let now = sh.now;
         let mut list: Vec<(JobOrder, u32)> = Vec::new();
-        let runs: HashMap<u32, f64> =
-            self.jobs.iter().map(|(ix, j)| (*ix, self.longest_s(&j.spec))).collect();
         let wall = sh.wall;
         for (ix, j) in &mut self.jobs {
             if j.hold_until > now || j.peek().is_none() {
                 continue;
             }
-            let run_s = runs[ix];
+            let ratio = self.ratios.get(&j.spec.class).copied().unwrap_or(1.0);
+            let run_s = j.spec.estimate_s * ratio;
             let age_s = wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
             let next = next_start(&sh.cfg.cluster.objectives, &j.spec, within[ix], run_s, age_s);
             let order = JobOrder {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -24,8 +24,6 @@
 const ROUND_GAP_MS: Ms = 50;
 const ROUND_EVERY_MS: Ms = 500;
 const RECORD_GAP_MS: Ms = 150;
-/// Longest task over estimate, before anything has been learned.
-const LONG_START: f64 = 1.4;
 /// How long a new leader waits for the recorded holders to show themselves.
 const HOLDER_GRACE_MS: Ms = 2_500;
 /// A node must have been heard for so long before blocks move to it for
@@ -60,8 +58,6 @@
     /// Learned run time over estimate, per class.
     #[serde(default)]
     pub ratios: BTreeMap<String, f64>,
-    #[serde(default)]
-    pub long: BTreeMap<String, f64>,
 }
 
 #[derive(Debug)]
@@ -209,8 +205,6 @@
     pub blocks: Vec<LBlock>,
     pub fleet: Fleet,
     pub ratios: BTreeMap<String, f64>,
-    /// As `ratios`, for the longest tenth of a class's tasks.
-    pub long: BTreeMap<String, f64>,
     pub round_due: bool,
     round_at: Ms,
     record_at: Ms,
@@ -248,7 +242,6 @@
                 .collect(),
             fleet: Fleet::new(sh),
             ratios: BTreeMap::new(),
-            long: BTreeMap::new(),
             round_due: true,
             round_at: 0,
             record_at: 0,
@@ -412,7 +405,6 @@
             StateResult::Item(item) if i == 2 => {
                 let rec: FleetRecord = serde_json::from_value(item.value).unwrap_or_default();
                 self.ratios = rec.ratios;
-                self.long = rec.long;
                 self.fleet.resume(sh, rec.at_ms, rec.history);
                 self.loading[2] = Loading::Done;
             }
@@ -487,13 +479,6 @@
         spec.estimate_s * self.ratios.get(&spec.class).copied().unwrap_or(1.0)
     }
 
-    /// Run time of the longest of the job's tasks, seconds: a job of many
-    /// tasks is done when that one is.
-    pub fn longest_s(&self, spec: &Spec) -> f64 {
-        let long = self.long.get(&spec.class).copied().unwrap_or(LONG_START);
-        if spec.tasks > 1 { spec.estimate_s * long } else { self.expected_s(spec) }
-    }
-
     pub fn new_attempt(&mut self, job: u32, task: u32, machine: u32, block: u32) {
         let Some(j) = self.jobs.get(&job) else { return };
         let a = LAttempt {
@@ -718,12 +703,8 @@
                     self.fleet.succeeded(machine);
                     if t.ran_ms > 0 && j.spec.estimate_s > 0.0 {
                         let ratio = (t.ran_ms as f64 / 1000.0 / j.spec.estimate_s).clamp(0.1, 10.0);
-                        let class = j.spec.class.clone();
-                        let r = self.ratios.entry(class.clone()).or_insert(1.0);
+                        let r = self.ratios.entry(j.spec.class.clone()).or_insert(1.0);
                         *r += 0.03 * (ratio - *r);
-                        // Follows the ratio that one task in ten passes.
-                        let l = self.long.entry(class).or_insert(LONG_START);
-                        *l *= if ratio > *l { 1.027 } else { 0.997 };
                     }
                 } else if j.recorded.contains(t.task) {
                     a.want = false;
