--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -101,6 +101,7 @@
             let run_s = j.spec.estimate_s * ratio;
             let age_s = wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
             let next = next_start(&sh.cfg.cluster.objectives, &j.spec, within[ix], run_s, age_s);
+            j.slack_s = last_start(&sh.cfg.cluster.objectives, &j.spec, run_s, age_s);
             let order = JobOrder {
                 priority: std::cmp::Reverse(j.spec.priority),
                 late: next.is_none(),
@@ -226,6 +227,18 @@
     if any { best } else { Some(DUE_WITHOUT_AIM_S - age_s) }
 }
 
+/// Seconds until the last of its class's aims can't be met any more.
+fn last_start(objectives: &[Objective], spec: &Spec, run_s: f64, age_s: f64) -> Option<f64> {
+    let own = objectives.iter().filter(|o| o.class.as_ref() == Some(&spec.class));
+    let ends = own.filter_map(|o| match o.kind.as_str() {
+        "deadline" => spec.deadline_s.map(|d| d * o.times.unwrap_or(1.0) - run_s),
+        "finished" => o.within_s.map(|w| w - run_s),
+        "wait" => o.within_s,
+        _ => None,
+    });
+    ends.reduce(f64::max).map(|at| at - age_s).filter(|s| *s >= 0.0)
+}
+
 /// How many more tasks the team's limit allows. A limit of 0 means none.
 pub fn quota_tasks(team: &crate::config::Team, used: &Res, need: &Res) -> u32 {
     let limit = Res { cpus: team.cpus_max - used.cpus, gpus: team.gpus_max - used.gpus, mem: f64::MAX };
