--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -30,7 +30,7 @@
 /// returned: the confirmation proves that it is gone.
 const VANISHED_MS: Ms = 8_000;
 /// A machine is dear when a task costs so many times what it does at best.
-const DEAR_FACTOR: f64 = 2.0;
+pub const DEAR_FACTOR: f64 = 2.0;
 /// Machines are charged for at least a minute, so younger ones stay.
 const MIN_CHARGE_MS: Ms = 60_000;
 
@@ -317,7 +317,7 @@
 }
 
 /// What a task costs an hour on the machine that is cheapest for it.
-fn cheapest_per_task(sh: &Shared, spec: &Spec) -> f64 {
+pub fn cheapest_per_task(sh: &Shared, spec: &Spec) -> f64 {
     let need = spec.need();
     let mut best = f64::INFINITY;
     for t in &sh.types {
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -4,6 +4,7 @@
 //! nearness of deadline, and grants what fits into quota and free room. Its
 //! batch is as wide as the backlog; what holds it back is room, not a count.
 
+use super::fleet::{DEAR_FACTOR, cheapest_per_task};
 use super::leader::Leader;
 use super::model::{JobOrder, Res, Spec};
 use super::shared::Shared;
@@ -14,6 +15,8 @@
 
 /// Grants of one round; the next one follows at once.
 const MAX_GRANTS: usize = 400;
+/// Late work keeps to cheap machines until it is this old.
+const DEAR_AFTER_S: f64 = 300.0;
 /// A job that no aim speaks of is to be started this long after its arrival.
 const DUE_WITHOUT_AIM_S: f64 = 60.0;
 
@@ -130,9 +133,12 @@
             let mut quota = quota_tasks(team, &used[j.team], &need);
             let team_ix = j.team;
             let mut zones = Zones::of(self, ix, &spec);
+            let age_s = sh.wall.saturating_sub(spec.at_ms) as f64 / 1000.0;
+            let cheap = (age_s < DEAR_AFTER_S)
+                .then(|| cheapest_per_task(sh, &spec) * DEAR_FACTOR);
             while quota > 0 && granted < MAX_GRANTS {
                 let Some(task) = self.jobs.get_mut(&ix).and_then(|j| j.peek()) else { break };
-                let Some(r) = best_room(sh, &mut rooms, &spec, &zones) else { break };
+                let Some(r) = best_room(sh, &mut rooms, &spec, &zones, cheap) else { break };
                 if let Some(j) = self.jobs.get_mut(&ix) {
                     j.take();
                 }
@@ -288,6 +294,7 @@
     rooms: &'a mut [Room],
     spec: &Spec,
     zones: &Zones,
+    cheap: Option<f64>,
 ) -> Option<&'a mut Room> {
     let need = spec.need();
     let mut best: Option<(f64, usize)> = None;
@@ -296,6 +303,10 @@
         if !need.fits(&r.free) || !allowed(spec, &t.name, &r.zone, r.spot) || !zones.allows(&r.zone) {
             continue;
         }
+        let price = if r.spot { t.spot_price } else { t.price };
+        if cheap.is_some_and(|c| price / f64::from(need.times_in(&t.room).max(1)) > c) {
+            continue;
+        }
         let score = fit_score(&need, &r.free, &r.total, spec.spot && !r.spot, true);
         if best.is_none_or(|(s, _)| score < s) {
             best = Some((score, i));
