--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -8,7 +8,7 @@
 use super::forecast::History;
 use super::grants::{Room, Zones, quota_tasks};
 use super::leader::{FleetRecord, Leader};
-use super::model::{Ms, Names, Res, Spec};
+use super::model::{Ms, Names, Res};
 use super::shared::{Pace, Shared};
 use super::window::allowed;
 use super::{CloudOp, CloudResult};
@@ -29,8 +29,6 @@
 /// A machine that was listed and no longer is, and is silent for so long, is
 /// returned: the confirmation proves that it is gone.
 const VANISHED_MS: Ms = 8_000;
-/// A machine is dear when a task costs so many times what it does at best.
-pub const DEAR_FACTOR: f64 = 2.0;
 /// Machines are charged for at least a minute, so younger ones stay.
 const MIN_CHARGE_MS: Ms = 60_000;
 
@@ -316,25 +314,6 @@
     }
 }
 
-/// What a task costs an hour on the machine that is cheapest for it.
-pub fn cheapest_per_task(sh: &Shared, spec: &Spec) -> f64 {
-    let need = spec.need();
-    let mut best = f64::INFINITY;
-    for t in &sh.types {
-        let holds = need.times_in(&t.room);
-        if holds == 0 {
-            continue;
-        }
-        for spot in [false, true] {
-            if t.zones.iter().any(|z| allowed(spec, &t.name, z, spot)) {
-                let price = if spot { t.spot_price } else { t.price };
-                best = best.min(price / f64::from(holds));
-            }
-        }
-    }
-    best
-}
-
 fn kind_name(sh: &Shared, kind: usize, spot: bool) -> String {
     let name = sh.types.get(kind).map_or("?", |t| t.name.as_str());
     format!("{name}{}", if spot { "+spot" } else { "" })
@@ -509,7 +488,6 @@
             let need = spec.need();
             let team = &sh.cfg.cluster.teams[j.team];
             let mut n = n.min(quota_tasks(team, &used[j.team], &need));
-            let slack = j.slack_s;
             let mut zones = Zones::of(self, ix, spec);
             for _ in 0..n {
                 used[j.team].add(&need);
@@ -530,7 +508,6 @@
                     break;
                 }
                 let mut best: Option<(f64, Offer)> = None;
-                let cheapest = cheapest_per_task(sh, spec);
                 for (k, t) in sh.types.iter().enumerate() {
                     let holds = need.times_in(&t.room).min(n);
                     if holds == 0 {
@@ -546,13 +523,6 @@
                                 continue;
                             }
                             let price = if spot { t.spot_price } else { t.price };
-                            // Dear machines only for work that they will
-                            // still help to be in time.
-                            let dear = price / f64::from(need.times_in(&t.room).max(1))
-                                > cheapest * DEAR_FACTOR;
-                            if dear && slack.is_none_or(|s| s < t.boot_s) {
-                                continue;
-                            }
                             let have = count.get(&(k, zone.as_str(), spot)).copied().unwrap_or(0)
                                 + plan.get(&offer).copied().unwrap_or(0);
                             // Spread over the zones breaks ties.
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -4,7 +4,6 @@
 //! nearness of deadline, and grants what fits into quota and free room. Its
 //! batch is as wide as the backlog; what holds it back is room, not a count.
 
-use super::fleet::{DEAR_FACTOR, cheapest_per_task};
 use super::leader::Leader;
 use super::model::{JobOrder, Res, Spec};
 use super::shared::Shared;
@@ -15,8 +14,6 @@
 
 /// Grants of one round; the next one follows at once.
 const MAX_GRANTS: usize = 400;
-/// Late work keeps to cheap machines until it is this old.
-const DEAR_AFTER_S: f64 = 300.0;
 /// A job that no aim speaks of is to be started this long after its arrival.
 const DUE_WITHOUT_AIM_S: f64 = 60.0;
 
@@ -104,7 +101,6 @@
             let run_s = j.spec.estimate_s * ratio;
             let age_s = wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
             let next = next_start(&sh.cfg.cluster.objectives, &j.spec, within[ix], run_s, age_s);
-            j.slack_s = last_start(&sh.cfg.cluster.objectives, &j.spec, run_s, age_s);
             let order = JobOrder {
                 priority: std::cmp::Reverse(j.spec.priority),
                 late: next.is_none(),
@@ -133,12 +129,9 @@
             let mut quota = quota_tasks(team, &used[j.team], &need);
             let team_ix = j.team;
             let mut zones = Zones::of(self, ix, &spec);
-            let age_s = sh.wall.saturating_sub(spec.at_ms) as f64 / 1000.0;
-            let cheap = (age_s < DEAR_AFTER_S)
-                .then(|| cheapest_per_task(sh, &spec) * DEAR_FACTOR);
             while quota > 0 && granted < MAX_GRANTS {
                 let Some(task) = self.jobs.get_mut(&ix).and_then(|j| j.peek()) else { break };
-                let Some(r) = best_room(sh, &mut rooms, &spec, &zones, cheap) else { break };
+                let Some(r) = best_room(sh, &mut rooms, &spec, &zones) else { break };
                 if let Some(j) = self.jobs.get_mut(&ix) {
                     j.take();
                 }
@@ -233,18 +226,6 @@
     if any { best } else { Some(DUE_WITHOUT_AIM_S - age_s) }
 }
 
-/// Seconds until the last of its class's aims can't be met any more.
-fn last_start(objectives: &[Objective], spec: &Spec, run_s: f64, age_s: f64) -> Option<f64> {
-    let own = objectives.iter().filter(|o| o.class.as_ref() == Some(&spec.class));
-    let ends = own.filter_map(|o| match o.kind.as_str() {
-        "deadline" => spec.deadline_s.map(|d| d * o.times.unwrap_or(1.0) - run_s),
-        "finished" => o.within_s.map(|w| w - run_s),
-        "wait" => o.within_s,
-        _ => None,
-    });
-    ends.reduce(f64::max).map(|at| at - age_s).filter(|s| *s >= 0.0)
-}
-
 /// How many more tasks the team's limit allows. A limit of 0 means none.
 pub fn quota_tasks(team: &crate::config::Team, used: &Res, need: &Res) -> u32 {
     let limit = Res { cpus: team.cpus_max - used.cpus, gpus: team.gpus_max - used.gpus, mem: f64::MAX };
@@ -294,7 +275,6 @@
     rooms: &'a mut [Room],
     spec: &Spec,
     zones: &Zones,
-    cheap: Option<f64>,
 ) -> Option<&'a mut Room> {
     let need = spec.need();
     let mut best: Option<(f64, usize)> = None;
@@ -303,10 +283,6 @@
         if !need.fits(&r.free) || !allowed(spec, &t.name, &r.zone, r.spot) || !zones.allows(&r.zone) {
             continue;
         }
-        let price = if r.spot { t.spot_price } else { t.price };
-        if cheap.is_some_and(|c| price / f64::from(need.times_in(&t.room).max(1)) > c) {
-            continue;
-        }
         let score = fit_score(&need, &r.free, &r.total, spec.spot && !r.spot, true);
         if best.is_none_or(|(s, _)| score < s) {
             best = Some((score, i));
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -78,8 +78,6 @@
     pub fails: u32,
     pub failed_on: HashSet<u32>,
     pub hold_until: Ms,
-    /// Time left in which a start still meets an aim; none if there is none.
-    pub slack_s: Option<f64>,
     finish_busy: bool,
     finish_at: Ms,
 }
@@ -100,7 +98,6 @@
             fails: 0,
             failed_on: HashSet::new(),
             hold_until: 0,
-            slack_s: None,
             finish_busy: false,
             finish_at: 0,
             spec,
