--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -8,9 +8,9 @@
 use super::forecast::History;
 use super::grants::{Room, Zones, quota_tasks};
 use super::leader::{FleetRecord, Leader};
-use super::model::{Ms, Names, Res, Spec};
+use super::model::{Ms, Names, Res};
 use super::shared::{Pace, Shared};
-use super::window::{Booking, allowed, remaining_s};
+use super::window::allowed;
 use super::{CloudOp, CloudResult};
 use crate::wire::cloud::{ListedMachine, RentRequest, ReturnRequest};
 use crate::wire::peer::{HaveMachine, Retire};
@@ -314,47 +314,6 @@
     }
 }
 
-/// The room that a machine will have, as its tasks end.
-struct Soon {
-    kind: usize,
-    zone: String,
-    spot: bool,
-    free: Res,
-    ends: Vec<(f64, Res)>,
-}
-
-impl Soon {
-    /// How many of `n` tasks can start here before `until`, one after the
-    /// other in each piece of room; that room is then taken.
-    fn take(&mut self, need: &Res, run_s: f64, until: f64, n: u32) -> u32 {
-        let mut room = self.free;
-        let mut started = 0;
-        let mut taken = Vec::new();
-        for (at, freed) in &self.ends {
-            if *at >= until || started >= n {
-                break;
-            }
-            room.add(freed);
-            while started < n && need.fits(&room) {
-                room.sub(need);
-                taken.push((*at, Res { cpus: -need.cpus, gpus: -need.gpus, mem: -need.mem }));
-                started += 1 + ((until - at) / run_s.max(1.0)) as u32;
-            }
-        }
-        self.ends.extend(taken);
-        self.ends.sort_by(|a, b| a.0.total_cmp(&b.0));
-        started.min(n)
-    }
-}
-
-/// The shortest usual boot among the machines that the job may have.
-fn boot_s(sh: &Shared, spec: &Spec) -> f64 {
-    let able = |t: &&super::model::MachineType| {
-        spec.need().fits(&t.room) && t.zones.iter().any(|z| allowed(spec, &t.name, z, spec.spot))
-    };
-    sh.types.iter().filter(able).map(|t| t.boot_s).fold(f64::INFINITY, f64::min).min(600.0)
-}
-
 fn kind_name(sh: &Shared, kind: usize, spot: bool) -> String {
     let name = sh.types.get(kind).map_or("?", |t| t.name.as_str());
     format!("{name}{}", if spot { "+spot" } else { "" })
@@ -483,29 +442,6 @@
         })
     }
 
-    /// When the tasks on the machines are projected to end.
-    fn soon(&self, sh: &Shared, rooms: &[Room]) -> Vec<Soon> {
-        let mut by_machine: HashMap<u32, Soon> = HashMap::new();
-        for r in rooms.iter().filter(|r| r.machine != u32::MAX) {
-            let s =
-                Soon { kind: r.kind, zone: r.zone.clone(), spot: r.spot, free: r.free, ends: vec![] };
-            by_machine.insert(r.machine, s);
-        }
-        for a in self.attempts.values().filter(|a| a.counts()) {
-            let Some(s) = a.machine.and_then(|m| by_machine.get_mut(&m)) else { continue };
-            let expected = self.jobs.get(&a.job).map_or(10.0, |j| self.expected_s(&j.spec));
-            let booking =
-                Booking { need: a.need, ran_ms: a.ran_ms, expected_ms: (expected * 1000.0) as Ms };
-            s.ends.push((remaining_s(&sh.op, &booking), a.need));
-        }
-        let mut list: Vec<(u32, Soon)> = by_machine.into_iter().collect();
-        list.sort_by_key(|(m, _)| *m);
-        for (_, s) in &mut list {
-            s.ends.sort_by(|a, b| a.0.total_cmp(&b.0));
-        }
-        list.into_iter().map(|(_, s)| s).collect()
-    }
-
     /// Machines that would house the waiting tasks beyond free, booting and
     /// requested room, cheapest for the tasks that each would take.
     fn plan(&self, sh: &Shared) -> BTreeMap<Offer, u32> {
@@ -540,7 +476,6 @@
             }
         }
         let old = rooms.len();
-        let mut soon = self.soon(sh, &rooms);
         let mut used = self.team_use(sh);
         let mut count: HashMap<(usize, &str, bool), u32> = HashMap::new();
         for m in self.fleet.machines.values() {
@@ -553,7 +488,6 @@
             let need = spec.need();
             let team = &sh.cfg.cluster.teams[j.team];
             let mut n = n.min(quota_tasks(team, &used[j.team], &need));
-            let mut looked = false;
             let mut zones = Zones::of(self, ix, spec);
             for _ in 0..n {
                 used[j.team].add(&need);
@@ -570,22 +504,6 @@
                     n -= 1;
                     continue;
                 }
-                if !looked {
-                    // A machine rented now helps from the end of its boot on.
-                    // What will have started by then is no need for it.
-                    looked = true;
-                    let boot = boot_s(sh, spec);
-                    let run = self.expected_s(spec);
-                    for s in soon.iter_mut() {
-                        if n > 0
-                            && allowed(spec, &sh.types[s.kind].name, &s.zone, s.spot)
-                            && zones.allows(&s.zone)
-                        {
-                            n -= s.take(&need, run, boot, n);
-                        }
-                    }
-                    continue;
-                }
                 if rooms.len() - old >= 60 {
                     break;
                 }
