Keep spot machines for what demand strays by

Bursts find booted machines; spot ones cost a quarter of what a missed start would ask in ordinary ones.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -573,7 +573,11 @@
                 let waiting: u32 =
                     plan.iter().filter(|((pk, _, ps), _)| *pk == k && *ps == spot).map(|(_, n)| n).sum();
                 let need = present.get(&name).copied().unwrap_or(0.0) + f64::from(waiting);
-                let forecast = self.fleet.history.expect(&name, sh.op.season, sh.op.smoothing);
+                let mut forecast = self.fleet.history.expect(&name, sh.op.season, sh.op.smoothing);
+                // Cheap machines are kept for what demand strays by.
+                if spot && let Some(f) = &mut forecast {
+                    *f += sh.op.headroom * self.fleet.history.deviation(&name, sh.op.smoothing);
+                }
                 // A forecast of a small part of a machine is no reason to rent
                 // one; present need is.
                 let target = (need.ceil() as u32).max(forecast.unwrap_or(0.0).round() as u32);
--- a/src/core/forecast.rs
+++ b/src/core/forecast.rs
@@ -44,6 +44,18 @@
         self.kinds.values().map(Vec::len).max().unwrap_or(0)
     }
 
+    /// How far windows stray from the level, smoothed.
+    pub fn deviation(&self, kind: &str, smoothing: f64) -> f64 {
+        let Some(list) = self.kinds.get(kind) else { return 0.0 };
+        let (mut level, mut stray) = (list.first().copied().map_or(0.0, f64::from), 0.0);
+        for v in list {
+            let off = f64::from(*v) - level;
+            stray += smoothing * (off.abs() - stray);
+            level += smoothing * off;
+        }
+        stray
+    }
+
     /// Machines' worth of bookings expected in the next window; none without
     /// enough history. The season counts once it has been seen twice: from
     /// less, any rise and fall of the last minutes would pass for one.
