--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -207,6 +207,14 @@
     w.run(60_000);
     let again: u32 = w.starts.values().filter(|n| **n == 2).count() as u32;
     assert!(again > 0, "its tasks run elsewhere now");
+    // Where they run, no room is left; elsewhere there is some.
+    let zone = w.workers[m].zone.clone();
+    let mut fill = job(3, "t0", 2, 600.0);
+    fill["yard"] = json!(zone);
+    w.accept(0, &fill);
+    w.run(15_000);
+    w.add_worker(90, &zone, false, 100);
+    w.add_worker(91, &zone, false, 100);
     // A late write brings the old record back, and no return settles it.
     w.cloud_down = true;
     w.state.revision += 1;
