--- a/src/config.rs
+++ b/src/config.rs
@@ -144,8 +144,6 @@
     pub leader_ttl_s: f64,
     /// Silence after which the leader takes a node for lost, seconds.
     pub node_silence_s: f64,
-    /// At most this share of a type's room may one job put into the history.
-    pub job_mark: f64,
     /// Spot machines kept beyond the forecast, in mean deviations from it.
     pub headroom: f64,
 }
@@ -164,7 +162,6 @@
             block_lease_s: 30.0,
             leader_ttl_s: 5.0,
             node_silence_s: 3.0,
-            job_mark: 0.5,
             headroom: 1.5,
         }
     }
@@ -287,7 +284,6 @@
             ("forecast", "window_s") => self.window_s = number(1.0, 86400.0)?,
             ("forecast", "season_windows") => self.season = number(1.0, 10000.0)? as usize,
             ("forecast", "smoothing") => self.smoothing = number(0.0, 1.0)?,
-            ("forecast", "job_mark") => self.job_mark = number(0.0, 1.0)?,
             ("forecast", "spot_headroom") => self.headroom = number(0.0, 100.0)?,
             ("projection", "horizon_s") => self.horizon = number(1.0, 10000.0)? as usize,
             ("projection", "extension") => self.extension = number(0.01, 10.0)?,
