--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -21,8 +21,8 @@
 const LIST_EVERY_MS: Ms = 3_000;
 const CATALOG_EVERY_MS: Ms = 45_000;
 /// Refusals are remembered for so long, doubling up to the second figure.
-const REFUSED_MS: Ms = 8_000;
-const REFUSED_MAX_MS: Ms = 40_000;
+const REFUSED_MS: Ms = 5_000;
+const REFUSED_MAX_MS: Ms = 15_000;
 /// A boot that takes this many times the usual is given up.
 const BOOT_FACTOR: f64 = 3.5;
 const SHUN_MS: Ms = 45_000;
