--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -575,7 +575,7 @@
             if rec.as_ref().is_some_and(|(r, _)| r.node == node && r.incarnation == incarnation) {
                 continue;
             }
-            tracing::info!(block = sh.blocks[b].name, node, "granting block");
+            tracing::debug!(block = sh.blocks[b].name, node, "granting block");
             let key = block_key(&sh.blocks[b].name);
             let value = serde_json::to_value(BlockRecord { node, incarnation }).unwrap_or_default();
             let txn = Txn {
--- a/src/io/driver.rs
+++ b/src/io/driver.rs
@@ -45,7 +45,11 @@
     let (in_tx, mut in_rx) = unbounded_channel::<Input>();
     let (http_tx, mut http_rx) = channel::<server::Asked>(256);
     tokio::task::spawn_local(peers::listen(peer_listener, in_tx.clone()));
-    tokio::task::spawn_local(Server::new(acceptor).serve(server::service(http_tx)));
+    // Our own calls and the other nodes must find a socket whatever users do.
+    let limit = cfg.cluster.limits.max_connections;
+    let users = limit - (limit / 6).clamp(16, 160);
+    let front = Server::new(acceptor).max_connections(users);
+    tokio::task::spawn_local(front.serve(server::service(http_tx)));
 
     let links: HashMap<String, tokio::sync::mpsc::Sender<_>> =
         cfg.peers.iter().map(|p| (p.node.clone(), peers::link(p.addr))).collect();
