Preemption as the protocol permits, as a guard against starvation

Lower priorities give way, and what other teams run beyond their guarantee gives way to work within one, once work has waited for preempt_after_s (300 s). What loses least is stopped, a few at a time, nothing while stops are under way.

--- a/src/config.rs
+++ b/src/config.rs
@@ -146,6 +146,8 @@
     pub node_silence_s: f64,
     /// Spot machines kept beyond the forecast, in mean deviations from it.
     pub headroom: f64,
+    /// Work that has waited for so long may have other work stopped, seconds.
+    pub preempt_after_s: f64,
 }
 
 impl Default for Operator {
@@ -163,6 +165,7 @@
             leader_ttl_s: 5.0,
             node_silence_s: 3.0,
             headroom: 1.5,
+            preempt_after_s: 300.0,
         }
     }
 }
@@ -285,6 +288,7 @@
             ("forecast", "season_windows") => self.season = number(1.0, 10000.0)? as usize,
             ("forecast", "smoothing") => self.smoothing = number(0.0, 1.0)?,
             ("forecast", "spot_headroom") => self.headroom = number(0.0, 100.0)?,
+            ("admission", "preempt_after_s") => self.preempt_after_s = number(0.0, 86400.0)?,
             ("projection", "horizon_s") => self.horizon = number(1.0, 10000.0)? as usize,
             ("projection", "extension") => self.extension = number(0.01, 10.0)?,
             ("projection", "overload_level") => self.overload_level = number(0.0, 1.0)?,
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -14,6 +14,8 @@
 
 /// Grants of one round; the next one follows at once.
 const MAX_GRANTS: usize = 400;
+/// Tasks stopped to make room in one round.
+const MAX_STOPS: usize = 6;
 /// A job that no aim speaks of is to be started this long after its arrival.
 const DUE_WITHOUT_AIM_S: f64 = 60.0;
 
@@ -101,6 +103,7 @@
             let run_s = j.spec.estimate_s * ratio;
             let age_s = wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
             let next = next_start(&sh.cfg.cluster.objectives, &j.spec, within[ix], run_s, age_s);
+            j.within = within[ix];
             let order = JobOrder {
                 priority: std::cmp::Reverse(j.spec.priority),
                 late: next.is_none(),
@@ -156,10 +159,81 @@
         if granted >= MAX_GRANTS {
             self.round_due = true;
         }
+        self.preempt(sh, &rooms, &left, used);
         self.spread_waiting(sh, &rooms, &left);
         self.fleet.waiting = left;
     }
 
+    /// Makes room for work that has waited for long: lower priorities give way,
+    /// and what other teams run beyond their guarantee gives way to work
+    /// within one. Stops what loses least, little at a time, and nothing
+    /// while earlier stops are still under way.
+    fn preempt(&mut self, sh: &Shared, rooms: &[Room], left: &[(u32, u32)], mut used: Vec<Res>) {
+        if sh.now < self.preempt_at || self.attempts.values().any(|a| !a.want && a.counts()) {
+            return;
+        }
+        let mut budget = MAX_STOPS;
+        for (ix, _) in left {
+            let Some(j) = self.jobs.get(ix) else { continue };
+            let age_s = sh.wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
+            if budget == 0 || age_s < sh.op.preempt_after_s {
+                continue;
+            }
+            let (spec, team, within) = (j.spec.clone(), j.team, j.within);
+            let need = spec.need();
+            let zones = Zones::of(self, *ix, &spec);
+            let mut best: Option<(u64, Vec<u64>)> = None;
+            for r in rooms {
+                let Some(t) = sh.types.get(r.kind) else { continue };
+                if !allowed(&spec, &t.name, &r.zone, r.spot)
+                    || !zones.allows(&r.zone)
+                    || !need.fits(&r.total)
+                {
+                    continue;
+                }
+                let mut victims: Vec<(u64, u64)> = self
+                    .attempts
+                    .iter()
+                    .filter(|(_, a)| a.machine == Some(r.machine) && a.want && !a.bind && a.counts())
+                    .filter_map(|(id, a)| {
+                        let v = self.jobs.get(&a.job)?;
+                        let lower = v.spec.priority < spec.priority;
+                        let beyond = within
+                            && v.team != team
+                            && used[v.team].cpus - a.need.cpus >= sh.cfg.cluster.teams[v.team].cpus;
+                        let lost = if v.spec.checkpoint_s > 0.0 { 1_000 } else { a.ran_ms + 2_000 };
+                        (lower || beyond).then_some((lost, *id))
+                    })
+                    .collect();
+                victims.sort_unstable();
+                let (mut free, mut cost, mut list) = (r.free, 0, Vec::new());
+                for (lost, id) in victims {
+                    if need.fits(&free) || list.len() >= budget {
+                        break;
+                    }
+                    free.add(&self.attempts[&id].need);
+                    cost += lost;
+                    list.push(id);
+                }
+                let better = best.as_ref().is_none_or(|(c, _)| cost < *c);
+                if need.fits(&free) && !list.is_empty() && better {
+                    best = Some((cost, list));
+                }
+            }
+            for id in best.map(|(_, l)| l).unwrap_or_default() {
+                let Some(a) = self.attempts.get_mut(&id) else { continue };
+                a.want = false;
+                self.blocks[a.block as usize].dirty = true;
+                if let Some(u) = a.team.and_then(|t| used.get_mut(t)) {
+                    u.sub(&a.need);
+                }
+                budget -= 1;
+                self.preempt_at = sh.now + 1_000;
+                tracing::debug!(job = sh.job_names.name(a.job), task = a.task, "stopped to make room");
+            }
+        }
+    }
+
     /// Names the tasks that fit no free room to the blocks whose machines
     /// could take them, so that the holders count them in their projection.
     fn spread_waiting(&mut self, sh: &Shared, rooms: &[Room], left: &[(u32, u32)]) {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -78,6 +78,8 @@
     pub fails: u32,
     pub failed_on: HashSet<u32>,
     pub hold_until: Ms,
+    /// Within its team's guarantee, with the team's earlier jobs.
+    pub within: bool,
     finish_busy: bool,
     finish_at: Ms,
 }
@@ -98,6 +100,7 @@
             fails: 0,
             failed_on: HashSet::new(),
             hold_until: 0,
+            within: false,
             finish_busy: false,
             finish_at: 0,
             spec,
@@ -205,6 +208,7 @@
     pub blocks: Vec<LBlock>,
     pub fleet: Fleet,
     pub ratios: BTreeMap<String, f64>,
+    pub preempt_at: Ms,
     pub round_due: bool,
     round_at: Ms,
     record_at: Ms,
@@ -242,6 +246,7 @@
                 .collect(),
             fleet: Fleet::new(sh),
             ratios: BTreeMap::new(),
+            preempt_at: 0,
             round_due: true,
             round_at: 0,
             record_at: 0,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -431,6 +431,50 @@
     w.fair();
 }
 
+/// Two machines full of long tasks; the wait of a newcomer decides.
+fn full_world(seed: u64, urgency: &str, team: &str) -> World {
+    let mut w = world(seed);
+    w.run_ms = 600_000;
+    w.capacity = 2;
+    let mut a = job(1, team, 8, 600.0);
+    a["urgency"] = json!(urgency);
+    w.accept(0, &a);
+    w.run(40_000);
+    assert_eq!(w.starts.len(), 8);
+    w
+}
+
+fn newcomer(w: &mut World, urgency: &str, team: &str) -> usize {
+    w.run_ms = 5_000;
+    let mut b = job(2, team, 2, 5.0);
+    b["urgency"] = json!(urgency);
+    w.accept(0, &b);
+    w.run(360_000);
+    w.fair();
+    w.starts.keys().filter(|k| k.starts_with("run-000002")).count()
+}
+
+#[test]
+fn a_lower_priority_gives_way() {
+    let mut w = full_world(50, "normal", "t1");
+    assert_eq!(newcomer(&mut w, "urgent", "t1"), 2);
+    // What was stopped runs again afterwards.
+    assert!(w.until_done("run-000001", 700_000));
+    w.fair();
+}
+
+#[test]
+fn work_beyond_a_guarantee_gives_way_to_a_guarantee() {
+    let mut w = full_world(51, "urgent", "t1");
+    assert_eq!(newcomer(&mut w, "normal", "t0"), 2);
+}
+
+#[test]
+fn equal_work_of_the_same_team_waits() {
+    let mut w = full_world(52, "normal", "t1");
+    assert_eq!(newcomer(&mut w, "normal", "t1"), 0);
+}
+
 #[test]
 fn a_silent_machine_gives_its_tasks_up_only_with_its_lease() {
     let mut w = world(13);
