Refuse for good the tasks of a job that the holder does not know yet

The state service refuses a third of the calls (429), watches lag by seconds, and a picture whose jobs were unknown was taken after 2 s without them. The holder's next picture left them out, the leader granted them anew, and a picture under way then bound the old attempt after all. Seen: story fails without the fix.

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -410,13 +410,21 @@
         h.echo = w.serial;
         h.dirty = true;
         let mut wanted: HashMap<u64, (u32, u32, bool, Ms)> = HashMap::new();
+        // The leader takes what our next picture leaves out for never bound and
+        // puts it elsewhere. So a task whose job is yet unknown here is refused
+        // for good: bound with a later picture, it would run twice.
+        let mut unknown: HashSet<u64> = HashSet::new();
         for j in &w.jobs {
-            let Some(job) = sh.job_ix(&j.job) else { continue };
+            let Some(job) = sh.job_ix(&j.job) else {
+                unknown.extend(j.tasks.iter().map(|t| t.1));
+                continue;
+            };
             for &(task, id, bind) in &j.tasks {
                 wanted.insert(id, (job, task, bind, (j.expected_s * 1000.0) as Ms));
             }
         }
         h.rejected.retain(|id| wanted.contains_key(id));
+        h.rejected.extend(unknown);
         h.waiting = w.waiting.iter().filter_map(|x| Some((sh.job_ix(&x.job)?, x.count))).collect();
         for name in &w.gone {
             self.forget_machine(sh, name, w.block);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -416,6 +416,30 @@
     w.fair();
 }
 
+/// A holder that hears of a job later than of its tasks gives the tasks up; it
+/// must not bind them after all when the job shows up.
+#[test]
+fn tasks_given_up_for_an_unknown_job_are_not_bound_later() {
+    for ms in [2_800, 3_000, 3_200] {
+        let mut w = idle_east();
+        w.frame_ms = 700;
+        w.slow_watch.insert(0, ms);
+        let mut answer = 0;
+        for step in 0..40 {
+            if step == 6 {
+                answer = w.submit(1, &job(1, "t1", 12, 60.0));
+            }
+            // Other calls of the node are served, so that it counts as alive.
+            w.status(0, "run-000009");
+            w.run(700);
+        }
+        assert_eq!(w.answers[&answer].status, 201);
+        assert!(!w.starts.is_empty());
+        w.fair();
+        assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+    }
+}
+
 /// With machines in one zone only, no more than half of the tasks run at once.
 #[test]
 fn scattered_tasks_wait_rather_than_crowd_one_zone() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -302,6 +302,8 @@
     pub lose_replies: HashSet<usize>,
     /// Nodes whose calls to the state service take so long.
     pub slow: HashMap<usize, u64>,
+    /// Nodes whose watches are answered so much later.
+    pub slow_watch: HashMap<usize, u64>,
     /// Nodes whose transactions are under way so long, and arrive then whatever
     /// has become of the node's connection.
     pub slow_txn: HashMap<usize, u64>,
@@ -341,6 +343,7 @@
             reconnects: Vec::new(),
             lose_replies: HashSet::new(),
             slow: HashMap::new(),
+            slow_watch: HashMap::new(),
             slow_txn: HashMap::new(),
             frame_ms: 2,
         };
@@ -602,7 +605,8 @@
             let held = self.state.refuses.contains(&w.0);
             match found.or(late) {
                 Some(result) if !held => {
-                    self.push(1, Ev::StateRes { node: w.0, inc: w.1, call: w.2, result });
+                    let late = self.slow_watch.get(&w.0).copied().unwrap_or(0);
+                    self.push(1 + late, Ev::StateRes { node: w.0, inc: w.1, call: w.2, result });
                 }
                 _ if now > w.5 + 3000 => {
                     let result = StateResult::Unknown;
