--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -873,7 +873,10 @@
         for ix in 0..self.machines.len() {
             let Some(m) = &mut self.machines[ix] else { continue };
             let Some(h) = &mut self.blocks[m.block as usize] else { continue };
-            if m.dead || h.load != Load::Done {
+            // A report that waits for its answer is no silence: the first one
+            // of a new machine would pass for the end of a lease that never
+            // began, and its tasks would be granted again while it got them.
+            if m.dead || m.held.is_some() || h.load != Load::Done {
                 continue;
             }
             // Until the worker has shown our token, a former holder may have
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -440,6 +440,27 @@
     }
 }
 
+/// The first report of a machine that comes up long after its block was granted
+/// waits for work like any other; that is no lease that has ended.
+#[test]
+fn a_machine_that_comes_up_late_keeps_the_work_of_its_first_report() {
+    let mut w = World::new(3, 53);
+    w.capacity = 0;
+    w.run(90_000);
+    w.frame_ms = 20;
+    for i in 1..5 {
+        w.add_worker(i, "east", false, 100);
+    }
+    w.run(700);
+    let r = w.submit(1, &job(1, "t1", 16, 10.0));
+    w.run(1_200);
+    assert_eq!(w.answers[&r].status, 201);
+    assert_eq!(w.starts.len(), 16, "they were taken for lost");
+    w.run(20_000);
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+    w.fair();
+}
+
 /// With machines in one zone only, no more than half of the tasks run at once.
 #[test]
 fn scattered_tasks_wait_rather_than_crowd_one_zone() {
