--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -10,11 +10,11 @@
 
 use super::model::{Ms, Names, Res, split_task};
 use super::shared::Shared;
-use super::sync::{LEADER, block_key, job_key};
+use super::shelves::{self, Shelf, Written};
 use super::window::{self, Booking};
 use super::{Purpose, StateOp, StateResult};
 use crate::wire::peer::{Body, Have, HaveMachine, HaveState, HaveTask, Want};
-use crate::wire::state::{Change, Cond, Item, JobState, PlaceRecord, PlacedJob, Txn};
+use crate::wire::state::{Item, JobState, ShelfMachine, ShelfRecord};
 use crate::wire::workers::{Command, Op, Redirect, Report, ReportAnswer, ReportTask, TaskState};
 use std::collections::{HashMap, HashSet};
 
@@ -29,13 +29,6 @@
 /// How long a picture from the leader may wait for jobs that the watch has
 /// yet to bring.
 const WANT_WAIT_MS: Ms = 2_000;
-/// Bytes kept free in a machine's record for what changes its size a little.
-const RECORD_SLACK: usize = 600;
-/// Values of one transaction together; the service takes 64 KiB in all.
-const MAX_TXN_BYTES: usize = 40 << 10;
-/// About what one attempt adds to a record.
-const ATTEMPT_BYTES: usize = 40;
-
 pub fn place_prefix(block: &str) -> String {
     format!("place/{block}/")
 }
@@ -43,55 +36,36 @@
 #[derive(Debug)]
 pub enum HolderCall {
     Load { block: u32, grant: u64 },
-    Write { items: Vec<Written> },
-    Reread { machine: u32, grant: u64 },
-    Drop { key: String },
-}
-
-#[derive(Debug)]
-pub struct Written {
-    machine: u32,
-    grant: u64,
-    attempts: Vec<u64>,
-    isolated: bool,
-    returning: bool,
+    Write(Written),
+    Reread { block: u32, shelf: u32, grant: u64 },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Load {
+pub enum Load {
     Wanted { at: Ms },
     Reading,
     Done,
 }
 
 #[derive(Debug)]
-struct HeldBlock {
-    grant: u64,
+pub struct HeldBlock {
+    pub grant: u64,
     since: Ms,
-    load: Load,
-    term: u64,
+    pub load: Load,
+    pub term: u64,
     echo: u64,
     /// Bindings refused here, until the leader has taken note.
     rejected: HashSet<u64>,
     /// A picture that speaks of jobs yet unknown here.
     parked: Option<(Want, Ms)>,
     waiting: Vec<(u32, u32)>,
-    dirty: bool,
+    pub dirty: bool,
     sent_at: Ms,
+    pub shelves: Vec<Shelf>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Write {
-    Idle,
-    Flying,
-    /// The outcome of the last write is unknown; nothing may rest on it
-    /// before the record has been read back.
-    Doubtful,
-    Rereading,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum St {
+pub enum St {
     /// In the record, as far as the attempt's `written` says.
     Bound,
     /// From a former holder's record; may or may not be on the machine.
@@ -112,17 +86,17 @@
 }
 
 #[derive(Debug)]
-struct Attempt {
-    job: u32,
-    task: u32,
-    id: u64,
-    need: Res,
-    team: String,
+pub struct Attempt {
+    pub job: u32,
+    pub task: u32,
+    pub id: u64,
+    pub need: Res,
+    pub team: String,
     st: St,
     /// Part of a transaction that was sent: may be in the record.
-    tried: bool,
-    written: bool,
-    want: bool,
+    pub tried: bool,
+    pub written: bool,
+    pub want: bool,
     /// (session, seq) of the report whose answer first carried the `run`.
     sent: Option<(u64, u64)>,
     seen: bool,
@@ -131,22 +105,15 @@
     expected_ms: Ms,
 }
 
-impl Attempt {
-    /// Waits for the record that must stand before its `run`.
-    fn unwritten(&self, sh: &Shared) -> bool {
-        !self.written && self.want && sh.job(self.job).state == JobState::Live
-    }
-}
-
 #[derive(Debug)]
-struct Machine {
-    name: String,
+pub struct Machine {
+    pub name: String,
     addr: String,
-    type_name: String,
+    pub type_name: String,
     zone: String,
-    spot: bool,
-    block: u32,
-    grant: u64,
+    pub spot: bool,
+    pub block: u32,
+    pub grant: u64,
     session: u64,
     seq: u64,
     /// The worker has shown that it knows our token.
@@ -154,20 +121,17 @@
     last_report: Option<Ms>,
     last_answer: Option<Ms>,
     notice: bool,
-    isolated: bool,
+    pub isolated: bool,
     shunned: bool,
     retire: bool,
-    returning_written: bool,
-    isolated_written: bool,
-    stamp: u64,
-    write: Write,
-    retry_at: Ms,
-    attempts: Vec<Attempt>,
+    pub returning_written: bool,
+    pub isolated_written: bool,
+    /// The record that speaks of it, once there's something to say.
+    pub shelf: Option<u32>,
+    pub attempts: Vec<Attempt>,
     images: Vec<(String, f64)>,
     overloaded: bool,
     peak: f64,
-    /// The record lists attempts that are gone.
-    stale: Option<Ms>,
     /// Told by its lease or by the cloud.
     dead: bool,
     held: Option<Held>,
@@ -200,8 +164,11 @@
             && self.last_report.is_some_and(|at| at + FRESH_MS > now)
     }
 
-    fn key(&self, sh: &Shared) -> String {
-        format!("{}{}", place_prefix(&sh.blocks[self.block as usize].name), self.name)
+    /// Its return may be recorded: nothing is on it any more.
+    pub fn can_retire(&self) -> bool {
+        self.retire
+            && !self.returning_written
+            && (self.dead || self.attempts.is_empty() || self.last_report.is_none())
     }
 }
 
@@ -211,7 +178,6 @@
     machines: Vec<Option<Machine>>,
     /// Machines whose return is confirmed; a late report must not revive them.
     gone: HashSet<String>,
-    drops: Vec<(String, u32, u64)>,
     next_check: Ms,
     next_project: Ms,
 }
@@ -223,7 +189,6 @@
             names: Names::default(),
             machines: Vec::new(),
             gone: HashSet::new(),
-            drops: Vec::new(),
             next_check: 0,
             next_project: 0,
         }
@@ -262,6 +227,7 @@
                     waiting: Vec::new(),
                     dirty: true,
                     sent_at: 0,
+                    shelves: Vec::new(),
                 }
             });
             if granted.is_none() {
@@ -299,7 +265,7 @@
             self.next_project = now + 1000;
             self.project(sh);
         }
-        self.write_places(sh);
+        shelves::write_all(sh, &mut self.blocks, &mut self.machines);
         self.answer_due(sh);
         self.tell_leader(sh);
     }
@@ -332,52 +298,56 @@
             retire: false,
             returning_written: false,
             isolated_written: false,
-            stamp: 0,
-            write: Write::Idle,
-            retry_at: 0,
+            shelf: None,
             attempts: Vec::new(),
             images: Vec::new(),
             overloaded: false,
             peak: 0.0,
-            stale: None,
             dead: false,
             held: None,
         }
     }
 
-    /// A machine as its record tells it.
-    fn load_machine(&mut self, sh: &mut Shared, block: u32, grant: u64, item: Item) {
-        let Some(name) = item.key.rsplit('/').next().map(str::to_string) else { return };
-        let rec: PlaceRecord = match serde_json::from_value(item.value) {
-            Ok(r) => r,
-            Err(e) => {
-                tracing::error!(key = item.key, %e, "unreadable record");
-                return;
-            }
+    /// The machines of one shelf as its record tells them.
+    fn load_shelf(&mut self, sh: &mut Shared, block: u32, grant: u64, item: Item) {
+        let number = item.key.rsplit('/').next().and_then(|n| n.parse::<u32>().ok());
+        let bytes = item.value.to_string().len();
+        let rec = serde_json::from_value::<ShelfRecord>(item.value);
+        let (Some(number), Ok(rec)) = (number.filter(|n| *n < 100_000), rec) else {
+            tracing::error!(key = item.key, "unreadable record");
+            return;
         };
-        let ix = self.machine_put(&name);
-        let mut m = Self::blank(&name, block, grant);
-        m.type_name = rec.machine_type;
-        m.zone = rec.zone;
-        m.spot = rec.spot;
-        m.isolated = rec.isolated;
-        m.isolated_written = rec.isolated;
-        m.returning_written = rec.returning;
-        m.retire = rec.returning;
-        m.stamp = item.version;
-        m.attempts = inherited(sh, rec.jobs);
-        // A machine that reported while the record was being read keeps what
-        // its report told.
-        if let Some(old) = self.machines[ix as usize].take().filter(|o| o.grant == grant) {
-            m.addr = old.addr;
-            m.session = old.session;
-            m.seq = old.seq;
-            m.last_report = old.last_report;
-            m.last_answer = old.last_answer;
-            m.fenced = old.fenced;
-            m.held = old.held;
+        if let Some(h) = &mut self.blocks[block as usize] {
+            while h.shelves.len() <= number as usize {
+                h.shelves.push(Shelf::new(0, 0));
+            }
+            h.shelves[number as usize] = Shelf::new(item.version, bytes);
+        }
+        for row in &rec.machines {
+            let ix = self.machine_put(&row.0);
+            let mut m = Self::blank(&row.0, block, grant);
+            m.type_name = rec.types.get(row.1 as usize).cloned().unwrap_or_default();
+            m.zone = sh.blocks[block as usize].zone.clone();
+            m.spot = row.is(ShelfMachine::SPOT);
+            m.isolated = row.is(ShelfMachine::ISOLATED);
+            m.isolated_written = m.isolated;
+            m.returning_written = row.is(ShelfMachine::RETURNING);
+            m.retire = m.returning_written;
+            m.shelf = Some(number);
+            m.attempts = inherited(sh, &rec, row);
+            // A machine that reported while the record was being read keeps
+            // what its report told.
+            if let Some(old) = self.machines[ix as usize].take().filter(|o| o.grant == grant) {
+                m.addr = old.addr;
+                m.session = old.session;
+                m.seq = old.seq;
+                m.last_report = old.last_report;
+                m.last_answer = old.last_answer;
+                m.fenced = old.fenced;
+                m.held = old.held;
+            }
+            self.machines[ix as usize] = Some(m);
         }
-        self.machines[ix as usize] = Some(m);
     }
 
     // ---- the leader's picture ----
@@ -451,7 +421,7 @@
             m.isolated = isolated.contains(m.name.as_str());
             m.retire = m.returning_written || w.retire.iter().any(|r| r.machine == m.name);
             m.shunned = shunned.contains(m.name.as_str());
-            let dead = m.dead;
+            let (dead, shelf) = (m.dead, m.shelf);
             for a in &mut m.attempts {
                 known.insert(a.id);
                 match wanted.get(&a.id) {
@@ -469,8 +439,10 @@
                 let unsent = a.st == St::Bound && a.sent.is_none();
                 a.want || !(unsent || dead && a.st.ended())
             });
-            if m.attempts.len() != before {
-                m.stale.get_or_insert(sh.now);
+            if m.attempts.len() != before
+                && let Some(h) = &mut self.blocks[b]
+            {
+                shelves::mark_stale(h, shelf, sh.now);
             }
         }
         let mut fresh: Vec<(u64, u32, u32, Ms)> = wanted
@@ -497,17 +469,14 @@
         let j = sh.job(job);
         let (Some(spec), JobState::Live) = (j.spec.clone(), j.state) else { return false };
         let need = spec.need();
-        let limit = ((sh.cfg.cluster.state.value_kb * 1024.0) as usize).saturating_sub(RECORD_SLACK);
-        // Each new attempt may add a condition to the transaction.
-        let max_new = 4 * sh.cfg.cluster.state.txn_ops;
+        let Some(h) = &mut self.blocks[block as usize] else { return false };
         let mut best: Option<(f64, usize)> = None;
         for (ix, m) in self.machines.iter().enumerate() {
             let Some(m) = m.as_ref().filter(|m| m.block == block && m.takes_tasks(sh.now)) else {
                 continue;
             };
             if !window::allowed(&spec, &m.type_name, &m.zone, m.spot)
-                || m.attempts.len() * ATTEMPT_BYTES + 200 > limit
-                || m.attempts.iter().filter(|a| !a.written).count() + 8 > max_new
+                || !shelves::has_room(sh, h, m, job, &spec.team)
             {
                 continue;
             }
@@ -525,6 +494,7 @@
         }
         let Some((_, ix)) = best else { return false };
         let Some(m) = &mut self.machines[ix] else { return false };
+        shelves::reserve(sh, h, m, job, &spec.team);
         m.attempts.push(Attempt {
             job,
             task,
@@ -555,124 +525,25 @@
         if let Some(held) = &m.held {
             sh.busy(held.req, "this machine has been returned");
         }
-        if let Some(h) = &self.blocks[block as usize] {
-            self.drops.push((m.key(sh), block, h.grant));
+        if let Some(h) = &mut self.blocks[block as usize] {
+            shelves::mark_stale(h, m.shelf, sh.now);
         }
     }
 
     // ---- records ----
 
-    /// Writes the records of machines with new attempts, several to a
-    /// transaction, under every condition that the attempts rest on.
-    fn write_places(&mut self, sh: &mut Shared) {
-        let Some((_, term)) = sh.leader.as_ref() else { return };
-        let term = *term;
-        let max_ops = sh.cfg.cluster.state.txn_ops;
-        let mut txn = Txn { conds: Vec::new(), changes: Vec::new() };
-        let mut items: Vec<Written> = Vec::new();
-        let mut bytes = 0;
-        let now = sh.now;
-        for ix in 0..self.machines.len() {
-            let Some(m) = &self.machines[ix] else { continue };
-            if now < m.retry_at {
-                continue;
-            }
-            if m.write == Write::Doubtful {
-                let call = HolderCall::Reread { machine: ix as u32, grant: m.grant };
-                let key = m.key(sh);
-                if let Some(m) = &mut self.machines[ix] {
-                    m.write = Write::Rereading;
-                }
-                sh.state_call(Purpose::Holder(call), StateOp::Get(key));
-                continue;
-            }
-            if m.write != Write::Idle {
-                continue;
-            }
-            let Some(h) = &self.blocks[m.block as usize] else { continue };
-            if h.load != Load::Done || h.grant != m.grant {
-                continue;
-            }
-            let new = m.attempts.iter().any(|a| a.unwritten(sh));
-            let retire = m.retire
-                && !m.returning_written
-                && (m.dead || m.attempts.is_empty() || m.last_report.is_none());
-            let isolate = m.isolated != m.isolated_written;
-            let tidy = m.stale.is_some_and(|at| at + 4000 < now);
-            if !(new || retire || isolate || tidy) || !sh.can_write(items.len() + 1) {
-                continue;
-            }
-            // A binding granted by a former leader has no standing.
-            if new && h.term != term {
-                continue;
-            }
-            let mut conds = vec![
-                Cond { key: LEADER.into(), version: term },
-                Cond { key: block_key(&sh.blocks[m.block as usize].name), version: h.grant },
-                Cond { key: m.key(sh), version: m.stamp },
-            ];
-            for a in m.attempts.iter().filter(|a| a.unwritten(sh)) {
-                let id = sh.job_names.name(a.job);
-                conds.push(Cond { key: job_key(id), version: sh.job(a.job).stamp });
-            }
-            let fresh: Vec<Cond> = conds
-                .into_iter()
-                .filter(|c| !txn.conds.iter().any(|o| o.key == c.key))
-                .fold(Vec::new(), |mut v, c| {
-                    if !v.iter().any(|o: &Cond| o.key == c.key) {
-                        v.push(c);
-                    }
-                    v
-                });
-            if txn.conds.len() + fresh.len() > 4 * max_ops {
-                break;
-            }
-            let rec = place_record(sh, m, retire || m.returning_written);
-            let value = serde_json::to_value(&rec).unwrap_or_default();
-            bytes += value.to_string().len();
-            if bytes > MAX_TXN_BYTES && !items.is_empty() {
-                break;
-            }
-            txn.conds.extend(fresh);
-            txn.changes.push(Change::Put { key: m.key(sh), value, lease: None });
-            items.push(Written {
-                machine: ix as u32,
-                grant: m.grant,
-                attempts: rec.jobs.iter().flat_map(|j| j.tasks.iter().map(|t| t.1)).collect(),
-                isolated: rec.isolated,
-                returning: rec.returning,
-            });
-            if let Some(m) = &mut self.machines[ix] {
-                m.write = Write::Flying;
-                for a in &mut m.attempts {
-                    a.tried = a.tried || a.want;
-                }
-            }
-            if txn.changes.len() >= max_ops.min(6) {
-                break;
-            }
-        }
-        if !items.is_empty() {
-            sh.state_call(Purpose::Holder(HolderCall::Write { items }), StateOp::Txn(txn));
-        }
-        if !self.drops.is_empty() && sh.can_write(1) {
-            let (key, block, grant) = self.drops.remove(0);
-            let txn = Txn {
-                conds: vec![Cond { key: block_key(&sh.blocks[block as usize].name), version: grant }],
-                changes: vec![Change::Delete { key: key.clone() }],
-            };
-            sh.state_call(Purpose::Holder(HolderCall::Drop { key }), StateOp::Txn(txn));
-        }
-    }
-
     pub fn on_result(&mut self, sh: &mut Shared, call: HolderCall, result: StateResult) {
         match call {
             HolderCall::Load { block, grant } => self.on_load(sh, block, grant, result),
-            HolderCall::Write { items } => self.on_written(sh, items, result),
-            HolderCall::Reread { machine, grant } => self.on_reread(sh, machine, grant, result),
-            HolderCall::Drop { key } => {
-                if let StateResult::NotExecuted | StateResult::Unknown = result {
-                    tracing::debug!(key, "record of a returned machine stays for now");
+            HolderCall::Write(w) => {
+                if let Some(h) = &mut self.blocks[w.block as usize] {
+                    shelves::on_written(sh, h, &mut self.machines, w, result);
+                }
+            }
+            HolderCall::Reread { block, shelf, grant } => {
+                let h = self.blocks[block as usize].as_mut().filter(|h| h.grant == grant);
+                if let Some(h) = h {
+                    shelves::on_reread(sh, h, &mut self.machines, (block, shelf), result);
                 }
             }
         }
@@ -688,7 +559,7 @@
         };
         let last = p.items.last().map(|i| i.key.clone());
         for i in p.items {
-            self.load_machine(sh, block, grant, i);
+            self.load_shelf(sh, block, grant, i);
         }
         if p.more && last.is_some() {
             let prefix = place_prefix(&sh.blocks[block as usize].name);
@@ -704,73 +575,6 @@
         }
     }
 
-    fn on_written(&mut self, sh: &mut Shared, items: Vec<Written>, result: StateResult) {
-        for w in items {
-            let Some(m) = self.machines[w.machine as usize].as_mut().filter(|m| m.grant == w.grant)
-            else {
-                continue;
-            };
-            if let Some(h) = &mut self.blocks[m.block as usize] {
-                h.dirty = true;
-            }
-            match &result {
-                StateResult::Done { revision } => {
-                    m.write = Write::Idle;
-                    m.stamp = *revision;
-                    m.isolated_written = w.isolated;
-                    m.returning_written |= w.returning;
-                    for a in &mut m.attempts {
-                        a.written |= w.attempts.contains(&a.id);
-                    }
-                    // Some may have gone while the write was under way.
-                    let listed = |id: &u64| m.attempts.iter().any(|a| a.id == *id);
-                    m.stale = (!w.attempts.iter().all(listed)).then_some(sh.now);
-                }
-                StateResult::NotExecuted => {
-                    m.write = Write::Idle;
-                    m.retry_at = sh.now + sh.jitter(200);
-                }
-                StateResult::Failed(keys) => {
-                    let key = format!("{}{}", place_prefix(&sh.blocks[m.block as usize].name), m.name);
-                    m.write = if keys.contains(&key) { Write::Doubtful } else { Write::Idle };
-                    m.retry_at = sh.now + sh.jitter(80);
-                }
-                _ => {
-                    m.write = Write::Doubtful;
-                    m.retry_at = sh.now + sh.jitter(100);
-                }
-            }
-        }
-    }
-
-    fn on_reread(&mut self, sh: &mut Shared, machine: u32, grant: u64, result: StateResult) {
-        let Some(m) = self.machines[machine as usize].as_mut().filter(|m| m.grant == grant) else {
-            return;
-        };
-        match result {
-            StateResult::Item(i) => {
-                m.write = Write::Idle;
-                m.stamp = i.version;
-                let Ok(rec) = serde_json::from_value::<PlaceRecord>(i.value) else { return };
-                m.isolated_written = rec.isolated;
-                m.returning_written |= rec.returning;
-                let listed: HashSet<u64> =
-                    rec.jobs.iter().flat_map(|j| j.tasks.iter().map(|t| t.1)).collect();
-                for a in &mut m.attempts {
-                    a.written |= listed.contains(&a.id);
-                }
-            }
-            StateResult::Missing => {
-                m.write = Write::Idle;
-                m.stamp = 0;
-            }
-            _ => {
-                m.write = Write::Doubtful;
-                m.retry_at = sh.now + sh.jitter(300);
-            }
-        }
-    }
-
     // ---- workers ----
 
     pub fn checkin(&mut self, sh: &mut Shared, req: u64, r: Report) {
@@ -820,7 +624,10 @@
         let stale = m.held.take();
         let mut commands = Vec::new();
         if load == Load::Done {
-            read_tasks(sh, m, &r.tasks, new_session, &mut commands);
+            let gone = read_tasks(sh, m, &r.tasks, new_session, &mut commands);
+            if gone && let Some(h) = &mut self.blocks[b as usize] {
+                shelves::mark_stale(h, m.shelf, sh.now);
+            }
         }
         let hold = if load == Load::Done && commands.is_empty() { hold_ms(sh, m) } else { 0 };
         m.held = Some(Held { req, until: sh.now + hold, commands });
@@ -892,7 +699,7 @@
                 tracing::info!(machine = m.name, "lease ended; its tasks are gone");
             }
             m.attempts.retain(|a| a.st == St::Done && a.want);
-            m.stale = Some(sh.now);
+            shelves::mark_stale(h, m.shelf, sh.now);
             h.dirty = true;
         }
     }
@@ -1029,61 +836,34 @@
     w.jobs.iter().all(|j| sh.job_ix(&j.job).is_some())
 }
 
-fn inherited(sh: &mut Shared, jobs: Vec<PlacedJob>) -> Vec<Attempt> {
+fn inherited(sh: &mut Shared, rec: &ShelfRecord, row: &ShelfMachine) -> Vec<Attempt> {
     let mut out = Vec::new();
-    for j in jobs {
-        let Some(job) = sh.job_ix(&j.job) else {
-            tracing::error!(job = j.job, "a machine's record names an unknown job");
+    for &(job, task, id) in &row.3 {
+        let Some(j) = rec.jobs.get(job as usize) else { continue };
+        let Some(job) = sh.job_ix(&j.0) else {
+            tracing::error!(job = j.0, "a machine's record names an unknown job");
             continue;
         };
-        for (task, id) in j.tasks {
-            out.push(Attempt {
-                job,
-                task,
-                id,
-                need: Res { cpus: j.cpus, gpus: j.gpus, mem: j.memory_gb },
-                team: j.team.clone(),
-                st: St::Inherited,
-                tried: true,
-                written: true,
-                want: true,
-                sent: None,
-                seen: false,
-                started: None,
-                ran: 0,
-                expected_ms: 0,
-            });
-        }
+        out.push(Attempt {
+            job,
+            task,
+            id,
+            need: Res { cpus: j.2, gpus: j.3, mem: j.4 },
+            team: j.1.clone(),
+            st: St::Inherited,
+            tried: true,
+            written: true,
+            want: true,
+            sent: None,
+            seen: false,
+            started: None,
+            ran: 0,
+            expected_ms: 0,
+        });
     }
     out
 }
 
-fn place_record(sh: &Shared, m: &Machine, returning: bool) -> PlaceRecord {
-    let mut jobs: Vec<PlacedJob> = Vec::new();
-    for a in m.attempts.iter().filter(|a| a.written || a.want || a.tried) {
-        let name = sh.job_names.name(a.job);
-        match jobs.iter_mut().find(|j| j.job == *name) {
-            Some(j) => j.tasks.push((a.task, a.id)),
-            None => jobs.push(PlacedJob {
-                job: name.clone(),
-                team: a.team.clone(),
-                cpus: a.need.cpus,
-                gpus: a.need.gpus,
-                memory_gb: a.need.mem,
-                tasks: vec![(a.task, a.id)],
-            }),
-        }
-    }
-    PlaceRecord {
-        machine_type: m.type_name.clone(),
-        spot: m.spot,
-        zone: m.zone.clone(),
-        isolated: m.isolated,
-        returning,
-        jobs,
-    }
-}
-
 /// The most recently used images first, as many as the cache holds.
 fn remember_image(images: &mut Vec<(String, f64)>, name: &str, gb: f64, cache_gb: f64) {
     if name.is_empty() {
@@ -1099,14 +879,14 @@
 }
 
 /// Takes in what a report says of the machine's tasks, and what it proves by
-/// not saying it.
+/// not saying it. Whether anything is gone.
 fn read_tasks(
     sh: &mut Shared,
     m: &mut Machine,
     tasks: &[ReportTask],
     new_session: bool,
     commands: &mut Vec<Command>,
-) {
+) -> bool {
     let now = sh.now;
     let mut listed: HashSet<u64> = HashSet::new();
     for t in tasks {
@@ -1168,9 +948,7 @@
         }
         keep
     });
-    if m.attempts.len() != before {
-        m.stale.get_or_insert(now);
-    }
+    m.attempts.len() != before
 }
 
 /// What the worker shall do now.
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -11,7 +11,9 @@
 use super::sync::{CATALOG, LEADER, block_key, job_key};
 use super::{CloudResult, Purpose, StateOp, StateResult};
 use crate::wire::peer::{Body, Have, HaveState, HaveTask, Want, WantJob};
-use crate::wire::state::{BlockRecord, Change, Cond, JobRecord, JobState, PlaceRecord, Txn};
+use crate::wire::state::{
+    BlockRecord, Change, Cond, JobRecord, JobState, ShelfMachine, ShelfRecord, Txn,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -345,18 +347,19 @@
         });
     }
 
-    fn take_place(&mut self, sh: &mut Shared, key: &str, rec: PlaceRecord) {
-        let mut parts = key.split('/').skip(1);
-        let (Some(block), Some(name)) = (parts.next(), parts.next()) else { return };
+    fn take_shelf(&mut self, sh: &mut Shared, key: &str, rec: ShelfRecord) {
+        let Some(block) = key.split('/').nth(1) else { return };
         let Some(b) = sh.blocks.iter().position(|b| b.name == block) else { return };
-        let ix = self.fleet.put_known(sh, name, &rec.machine_type, &rec.zone, rec.spot);
-        if let Some(m) = self.fleet.machines.get_mut(&ix) {
-            m.isolated = rec.isolated;
-        }
-        for j in rec.jobs {
-            let Some(job) = sh.job_ix(&j.job) else { continue };
-            let team = sh.cfg.cluster.teams.iter().position(|t| t.name == j.team);
-            for (task, id) in j.tasks {
+        let zone = sh.blocks[b].zone.clone();
+        for m in &rec.machines {
+            let type_name = rec.types.get(m.1 as usize).map_or("", String::as_str);
+            let ix = self.fleet.put_known(sh, &m.0, type_name, &zone, m.is(ShelfMachine::SPOT));
+            if let Some(known) = self.fleet.machines.get_mut(&ix) {
+                known.isolated = m.is(ShelfMachine::ISOLATED);
+            }
+            for &(job, task, id) in &m.3 {
+                let Some(j) = rec.jobs.get(job as usize) else { continue };
+                let Some(job) = sh.job_ix(&j.0) else { continue };
                 self.attempts.insert(
                     id,
                     LAttempt {
@@ -367,8 +370,8 @@
                         bind: false,
                         want: true,
                         state: HaveState::Bound,
-                        need: Res { cpus: j.cpus, gpus: j.gpus, mem: j.memory_gb },
-                        team,
+                        need: Res { cpus: j.2, gpus: j.3, mem: j.4 },
+                        team: sh.cfg.cluster.teams.iter().position(|t| t.name == j.1),
                         ran_ms: 0,
                         serial: u64::MAX,
                     },
@@ -384,7 +387,7 @@
                 for item in p.items {
                     if i == 0 {
                         match serde_json::from_value(item.value) {
-                            Ok(rec) => self.take_place(sh, &item.key, rec),
+                            Ok(rec) => self.take_shelf(sh, &item.key, rec),
                             Err(e) => tracing::error!(key = item.key, %e, "unreadable record"),
                         }
                     } else {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod leader;
 pub mod model;
 pub mod shared;
+pub mod shelves;
 pub mod sync;
 pub mod term;
 pub mod window;
--- /dev/null
+++ b/src/core/shelves.rs
@@ -0,0 +1,429 @@
+//! Shelves: the records that say what may be on a block's machines.
+//!
+//! The state service takes few changes a second, and many tasks start in each,
+//! so one record speaks for many machines. All that has gathered for a shelf
+//! goes out in one change, under every condition that it rests on; while it is
+//! under way, or its outcome in doubt, the next batch gathers. The gap between
+//! two writes of a shelf widens with the number of shelves, so that all
+//! holders together keep within the service's rate.
+
+use super::holder::{Attempt, HeldBlock, HolderCall, Load, Machine};
+use super::model::Ms;
+use super::shared::Shared;
+use super::sync::{LEADER, block_key, job_key};
+use super::{Purpose, StateOp, StateResult};
+use crate::wire::state::{Change, Cond, JobState, ShelfJob, ShelfMachine, ShelfRecord, Txn};
+use std::collections::{HashMap, HashSet};
+
+/// Bytes kept free in a record for what the estimate leaves out.
+const RECORD_SLACK: usize = 600;
+/// A new machine goes to a shelf filled up to this share at most: those that
+/// are on it need room for the tasks to come.
+const FILL: f64 = 0.7;
+/// Share of the service's changes that bindings may take of all nodes together.
+const RATE_SHARE: f64 = 0.65;
+const MIN_GAP_MS: Ms = 100;
+/// What isn't pressing goes along with other changes, or after this time.
+const TIDY_MS: Ms = 4_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Write {
+    Idle,
+    Flying,
+    /// The outcome of the last write is unknown; nothing may rest on it
+    /// before the record has been read back.
+    Doubtful,
+    Rereading,
+}
+
+#[derive(Debug)]
+pub struct Shelf {
+    pub stamp: u64,
+    write: Write,
+    retry_at: Ms,
+    next_at: Ms,
+    /// Since when the record lists what is gone.
+    pub stale: Option<Ms>,
+    /// At most so many bytes long, with all that waits to be written.
+    bytes: usize,
+    jobs: HashSet<u32>,
+}
+
+impl Shelf {
+    pub fn new(stamp: u64, bytes: usize) -> Shelf {
+        Shelf {
+            stamp,
+            write: Write::Idle,
+            retry_at: 0,
+            next_at: 0,
+            stale: None,
+            bytes: RECORD_SLACK + bytes,
+            jobs: HashSet::new(),
+        }
+    }
+}
+
+/// One write under way.
+#[derive(Debug)]
+pub struct Written {
+    pub block: u32,
+    pub shelf: u32,
+    grant: u64,
+    /// Attempts whose `run` may go out once this is on record.
+    attempts: HashSet<u64>,
+    flags: HashMap<u32, u8>,
+}
+
+fn limit(sh: &Shared) -> usize {
+    (sh.cfg.cluster.state.value_kb * 1024.0) as usize
+}
+
+/// Upper bounds of what each part adds to a record.
+fn attempt_bytes() -> usize {
+    36
+}
+
+fn machine_bytes(name: &str) -> usize {
+    name.len() + 16
+}
+
+fn job_bytes(name: &str, team: &str) -> usize {
+    name.len() + team.len() + 70
+}
+
+pub fn shelf_key(block: &str, shelf: u32) -> String {
+    format!("place/{block}/{shelf}")
+}
+
+/// Whether one more attempt on this machine surely fits its record.
+pub fn has_room(sh: &Shared, h: &HeldBlock, m: &Machine, job: u32, team: &str) -> bool {
+    let Some(shelf) = m.shelf.and_then(|s| h.shelves.get(s as usize)) else { return true };
+    shelf.bytes + cost(sh, shelf, m, job, team) <= limit(sh)
+}
+
+fn cost(sh: &Shared, shelf: &Shelf, m: &Machine, job: u32, team: &str) -> usize {
+    let known = shelf.jobs.contains(&job);
+    let header = if known { 0 } else { job_bytes(sh.job_names.name(job), team) };
+    attempt_bytes() + header + if m.attempts.is_empty() { machine_bytes(&m.name) } else { 0 }
+}
+
+/// Counts an attempt that is about to be added to the machine.
+pub fn reserve(sh: &Shared, h: &mut HeldBlock, m: &mut Machine, job: u32, team: &str) {
+    let shelf = assign(sh, h, m);
+    let more = cost(sh, &h.shelves[shelf as usize], m, job, team);
+    let shelf = &mut h.shelves[shelf as usize];
+    shelf.bytes += more;
+    shelf.jobs.insert(job);
+}
+
+/// The machine's shelf; a machine without one gets the first that has room.
+fn assign(sh: &Shared, h: &mut HeldBlock, m: &mut Machine) -> u32 {
+    if let Some(s) = m.shelf.filter(|s| (*s as usize) < h.shelves.len()) {
+        return s;
+    }
+    let fill = (limit(sh) as f64 * FILL) as usize;
+    let found = h.shelves.iter().position(|s| s.bytes <= fill);
+    let s = found.unwrap_or_else(|| {
+        h.shelves.push(Shelf::new(0, 0));
+        h.shelves.len() - 1
+    }) as u32;
+    m.shelf = Some(s);
+    s
+}
+
+/// Time between two writes of a shelf when each node has as many as we have.
+fn gap_ms(sh: &Shared, own: usize) -> Ms {
+    let nodes = sh.cfg.peers.len() + 1;
+    let rate = (sh.cfg.cluster.state.write_rps * RATE_SHARE).max(0.1);
+    ((own * nodes) as f64 * 1000.0 / rate).clamp(MIN_GAP_MS as f64, 5_000.0) as Ms
+}
+
+/// Writes the shelves that have something new, and reads back those in doubt.
+pub fn write_all(sh: &mut Shared, blocks: &mut [Option<HeldBlock>], machines: &mut [Option<Machine>]) {
+    let Some(term) = sh.leader.as_ref().map(|(_, t)| *t) else { return };
+    let now = sh.now;
+    let mut own = 0;
+    let mut open = false;
+    for h in blocks.iter().flatten() {
+        own += h.shelves.len();
+        open |= h.load == Load::Done;
+    }
+    if !open {
+        return;
+    }
+    // What waits, shelf by shelf; false: not pressing.
+    let mut needs: HashMap<(u32, u32), bool> = HashMap::new();
+    for m in machines.iter_mut().flatten() {
+        let Some(h) = blocks[m.block as usize].as_mut() else { continue };
+        if h.load != Load::Done || h.grant != m.grant {
+            continue;
+        }
+        let press = m.can_retire() || h.term == term && m.attempts.iter().any(|a| a.unwritten(sh));
+        if press || m.isolated != m.isolated_written {
+            let shelf = assign(sh, h, m);
+            *needs.entry((m.block, shelf)).or_default() |= press;
+        }
+    }
+    for (b, h) in blocks.iter_mut().enumerate() {
+        let Some(h) = h.as_mut().filter(|h| h.load == Load::Done) else { continue };
+        for s in 0..h.shelves.len() {
+            let key = (b as u32, s as u32);
+            let shelf = &mut h.shelves[s];
+            if now < shelf.retry_at {
+                continue;
+            }
+            if shelf.write == Write::Doubtful {
+                shelf.write = Write::Rereading;
+                let call = HolderCall::Reread { block: key.0, shelf: key.1, grant: h.grant };
+                let key = shelf_key(&sh.blocks[b].name, key.1);
+                sh.state_call(Purpose::Holder(call), StateOp::Get(key));
+                continue;
+            }
+            if shelf.write != Write::Idle || now < shelf.next_at {
+                continue;
+            }
+            let tidy = shelf.stale.is_some_and(|at| at + TIDY_MS < now);
+            let press = match needs.get(&key) {
+                Some(press) => *press,
+                None if tidy => false,
+                None => continue,
+            };
+            if !press && !tidy {
+                // Goes along with the next write, or is tidied up in time.
+                shelf.stale.get_or_insert(now);
+                continue;
+            }
+            if !sh.can_write(1) {
+                return;
+            }
+            shelf.next_at = now + gap_ms(sh, own);
+            write(sh, h, machines, key, term);
+        }
+    }
+}
+
+/// One shelf as it is now, under the conditions of all that is new in it.
+fn write(
+    sh: &mut Shared,
+    h: &mut HeldBlock,
+    machines: &mut [Option<Machine>],
+    (block, shelf): (u32, u32),
+    term: u64,
+) {
+    let block_name = sh.blocks[block as usize].name.clone();
+    let key = shelf_key(&block_name, shelf);
+    let mut txn = Txn {
+        conds: vec![
+            Cond { key: LEADER.into(), version: term },
+            Cond { key: block_key(&block_name), version: h.grant },
+            Cond { key: key.clone(), version: h.shelves[shelf as usize].stamp },
+        ],
+        changes: Vec::new(),
+    };
+    let most_conds = 4 * sh.cfg.cluster.state.txn_ops;
+    let mut rec = ShelfRecord::default();
+    let mut jobs: HashMap<u32, u32> = HashMap::new();
+    let mut checked: HashSet<u32> = HashSet::new();
+    let mut done =
+        Written { block, shelf, grant: h.grant, attempts: HashSet::new(), flags: HashMap::new() };
+    let mut bytes = RECORD_SLACK;
+    for (ix, m) in machines.iter_mut().enumerate() {
+        let Some(m) = m.as_mut().filter(|m| m.block == block && m.shelf == Some(shelf)) else {
+            continue;
+        };
+        let mut flags = 0;
+        let mut flag = |on: bool, f: u8| flags |= if on { f } else { 0 };
+        flag(m.isolated, ShelfMachine::ISOLATED);
+        flag(m.returning_written || m.can_retire(), ShelfMachine::RETURNING);
+        let keep = flags != 0;
+        if m.spot {
+            flags |= ShelfMachine::SPOT;
+        }
+        let mut tasks = Vec::new();
+        for a in &mut m.attempts {
+            // A binding granted by a former leader has no standing.
+            let more = attempt_bytes() + job_bytes(sh.job_names.name(a.job), &a.team);
+            let mut fresh = h.term == term && a.unwritten(sh) && bytes + more <= limit(sh);
+            if fresh && !checked.contains(&a.job) {
+                if txn.conds.len() < most_conds {
+                    checked.insert(a.job);
+                    let name = sh.job_names.name(a.job);
+                    txn.conds.push(Cond { key: job_key(name), version: sh.job(a.job).stamp });
+                } else {
+                    // More jobs than one transaction has conditions: the rest
+                    // goes with the next.
+                    fresh = false;
+                }
+            }
+            if !(a.written || a.tried || fresh) {
+                continue;
+            }
+            if fresh {
+                a.tried = true;
+                done.attempts.insert(a.id);
+            }
+            let row = *jobs.entry(a.job).or_insert_with(|| {
+                let name = sh.job_names.name(a.job);
+                bytes += job_bytes(name, &a.team);
+                rec.jobs.push(ShelfJob(
+                    name.clone(),
+                    a.team.clone(),
+                    a.need.cpus,
+                    a.need.gpus,
+                    a.need.mem,
+                ));
+                rec.jobs.len() as u32 - 1
+            });
+            bytes += attempt_bytes();
+            tasks.push((row, a.task, a.id));
+        }
+        if tasks.is_empty() && !keep {
+            continue;
+        }
+        bytes += machine_bytes(&m.name);
+        let known = rec.types.iter().position(|t| *t == m.type_name);
+        let type_ix = known.unwrap_or_else(|| {
+            rec.types.push(m.type_name.clone());
+            rec.types.len() - 1
+        });
+        rec.machines.push(ShelfMachine(m.name.clone(), type_ix as u32, flags, tasks));
+        done.flags.insert(ix as u32, flags);
+    }
+    let state = &mut h.shelves[shelf as usize];
+    state.write = Write::Flying;
+    state.stale = None;
+    state.jobs = jobs.into_keys().collect();
+    // What is bound but did not get its condition yet still needs its place.
+    state.bytes = bytes + unwritten_bytes(sh, machines, block, shelf, &done);
+    let value = serde_json::to_value(&rec).unwrap_or_default();
+    txn.changes.push(Change::Put { key, value, lease: None });
+    sh.state_call(Purpose::Holder(HolderCall::Write(done)), StateOp::Txn(txn));
+}
+
+fn unwritten_bytes(
+    sh: &Shared,
+    machines: &[Option<Machine>],
+    block: u32,
+    shelf: u32,
+    done: &Written,
+) -> usize {
+    let on_shelf = |m: &&Machine| m.block == block && m.shelf == Some(shelf);
+    let left = |a: &&Attempt| a.unwritten(sh) && !done.attempts.contains(&a.id);
+    let count: usize =
+        machines.iter().flatten().filter(on_shelf).map(|m| m.attempts.iter().filter(left).count()).sum();
+    count * attempt_bytes()
+}
+
+pub fn on_written(
+    sh: &mut Shared,
+    h: &mut HeldBlock,
+    machines: &mut [Option<Machine>],
+    w: Written,
+    result: StateResult,
+) {
+    if h.grant != w.grant {
+        return;
+    }
+    let Some(shelf) = h.shelves.get_mut(w.shelf as usize) else { return };
+    match &result {
+        StateResult::Done { revision } => {
+            shelf.write = Write::Idle;
+            shelf.stamp = *revision;
+            h.dirty = true;
+            let ours = |m: &&mut Machine| m.block == w.block && m.shelf == Some(w.shelf);
+            for (ix, m) in machines.iter_mut().enumerate() {
+                let Some(m) = m.as_mut().filter(ours) else { continue };
+                let flags = w.flags.get(&(ix as u32)).copied();
+                let f = flags.unwrap_or(0);
+                m.isolated_written = f & ShelfMachine::ISOLATED != 0;
+                if f & ShelfMachine::RETURNING != 0 && !m.returning_written {
+                    m.returning_written = true;
+                }
+                for a in &mut m.attempts {
+                    a.written |= w.attempts.contains(&a.id);
+                }
+                if flags.is_none() && m.attempts.is_empty() {
+                    m.shelf = None;
+                }
+            }
+        }
+        StateResult::NotExecuted => {
+            shelf.write = Write::Idle;
+            shelf.stale.get_or_insert(sh.now);
+            shelf.retry_at = sh.now + sh.jitter(200);
+        }
+        StateResult::Failed(keys) => {
+            let key = shelf_key(&sh.blocks[w.block as usize].name, w.shelf);
+            shelf.write = if keys.contains(&key) { Write::Doubtful } else { Write::Idle };
+            shelf.stale.get_or_insert(sh.now);
+            shelf.retry_at = sh.now + sh.jitter(80);
+        }
+        _ => {
+            shelf.write = Write::Doubtful;
+            shelf.stale.get_or_insert(sh.now);
+            shelf.retry_at = sh.now + sh.jitter(100);
+        }
+    }
+}
+
+pub fn on_reread(
+    sh: &mut Shared,
+    h: &mut HeldBlock,
+    machines: &mut [Option<Machine>],
+    (block, shelf): (u32, u32),
+    result: StateResult,
+) {
+    let Some(state) = h.shelves.get_mut(shelf as usize) else { return };
+    match result {
+        StateResult::Item(i) => {
+            let Ok(rec) = serde_json::from_value::<ShelfRecord>(i.value) else {
+                tracing::error!(key = i.key, "unreadable record");
+                state.write = Write::Doubtful;
+                state.retry_at = sh.now + 2_000;
+                return;
+            };
+            state.write = Write::Idle;
+            state.stamp = i.version;
+            state.stale.get_or_insert(sh.now);
+            let listed: HashMap<&str, &ShelfMachine> =
+                rec.machines.iter().map(|m| (m.0.as_str(), m)).collect();
+            let ours = |m: &&mut Machine| m.block == block && m.shelf == Some(shelf);
+            for m in machines.iter_mut().flatten().filter(ours) {
+                let Some(row) = listed.get(m.name.as_str()) else {
+                    m.isolated_written = false;
+                    continue;
+                };
+                m.isolated_written = row.is(ShelfMachine::ISOLATED);
+                if row.is(ShelfMachine::RETURNING) && !m.returning_written {
+                    m.returning_written = true;
+                }
+                for a in &mut m.attempts {
+                    a.written |= row.3.iter().any(|t| t.2 == a.id);
+                }
+            }
+            h.dirty = true;
+        }
+        StateResult::Missing => {
+            state.write = Write::Idle;
+            state.stamp = 0;
+        }
+        _ => {
+            state.write = Write::Doubtful;
+            state.retry_at = sh.now + sh.jitter(300);
+        }
+    }
+}
+
+/// Marks that the machine's record lists something that is gone.
+pub fn mark_stale(h: &mut HeldBlock, shelf: Option<u32>, now: Ms) {
+    if let Some(s) = shelf.and_then(|s| h.shelves.get_mut(s as usize)) {
+        s.stale.get_or_insert(now);
+    }
+}
+
+impl Attempt {
+    /// Waits for the record that must stand before its `run`.
+    pub fn unwritten(&self, sh: &Shared) -> bool {
+        !self.written && self.want && sh.job(self.job).state == JobState::Live
+    }
+}
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -134,37 +134,37 @@
     Cancelled,
 }
 
-/// `place/<machine>`: every attempt that may be on the machine.
+/// `place/<block>/<shelf>`: every attempt that may be on the machines of one
+/// shelf. Many machines share a record, so that a round of bindings costs one
+/// change and not one for each machine. Lists instead of named fields keep it
+/// small.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Default)]
-pub struct PlaceRecord {
+pub struct ShelfRecord {
+    /// Machine types named below by their place here.
     #[serde(rename = "y", default)]
-    pub machine_type: String,
-    #[serde(rename = "s", default)]
-    pub spot: bool,
-    #[serde(rename = "z", default)]
-    pub zone: String,
-    #[serde(rename = "i", default, skip_serializing_if = "std::ops::Not::not")]
-    pub isolated: bool,
-    #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
-    pub returning: bool,
-    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
-    pub jobs: Vec<PlacedJob>,
-}
-
-/// The resources stand beside the attempts, because the job's record may
-/// have shrunk to its final state while its tasks still use them.
+    pub types: Vec<String>,
+    #[serde(rename = "j", default)]
+    pub jobs: Vec<ShelfJob>,
+    #[serde(rename = "m", default)]
+    pub machines: Vec<ShelfMachine>,
+}
+
+/// Name, team, and what one task takes: CPUs, GPUs, memory. The resources
+/// stand beside the attempts, because the job's record may have shrunk to its
+/// final state while its tasks still use them.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
-pub struct PlacedJob {
-    #[serde(rename = "n")]
-    pub job: String,
-    #[serde(rename = "m")]
-    pub team: String,
-    #[serde(rename = "c")]
-    pub cpus: f64,
-    #[serde(rename = "g")]
-    pub gpus: f64,
-    #[serde(rename = "w")]
-    pub memory_gb: f64,
-    #[serde(rename = "t")]
-    pub tasks: Vec<(u32, u64)>,
+pub struct ShelfJob(pub String, pub String, pub f64, pub f64, pub f64);
+
+/// Name, type, flags, and the attempts as (job, task, attempt).
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct ShelfMachine(pub String, pub u32, pub u8, pub Vec<(u32, u32, u64)>);
+
+impl ShelfMachine {
+    pub const SPOT: u8 = 1;
+    pub const ISOLATED: u8 = 2;
+    pub const RETURNING: u8 = 4;
+
+    pub fn is(&self, flag: u8) -> bool {
+        self.2 & flag != 0
+    }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -204,7 +204,8 @@
 fn a_stale_record_of_an_older_attempt_starts_nothing() {
     let mut w = busy_world(45, 6);
     let (m, _) = busy_machine(&w);
-    let key = w.place_key(m).unwrap();
+    let name = w.workers[m].name.clone();
+    let (key, old_row) = w.shelf_of(&name).unwrap();
     let old = w.state.keys[&key].0.clone();
     w.workers[m].alive = false;
     w.run(60_000);
@@ -222,7 +223,18 @@
     w.cloud_down = true;
     w.state.revision += 1;
     let revision = w.state.revision;
-    w.state.keys.insert(key, (old, revision, None));
+    let mut rec = w.state.keys[&key].0.clone();
+    // The old row counts jobs by their place in the old record.
+    let jobs = rec["j"].as_array().unwrap().len();
+    let old_jobs = old["j"].as_array().unwrap().clone();
+    rec["j"].as_array_mut().unwrap().extend(old_jobs);
+    let mut row = old_row;
+    for t in row[3].as_array_mut().unwrap() {
+        t[0] = json!(t[0].as_u64().unwrap() as usize + jobs);
+    }
+    rec["m"].as_array_mut().unwrap().retain(|r| r[0] != name.as_str());
+    rec["m"].as_array_mut().unwrap().push(row);
+    w.state.keys.insert(key, (rec, revision, None));
     for n in 0..3 {
         w.crash(n, 1_000);
     }
@@ -461,6 +473,34 @@
     w.fair();
 }
 
+/// Many tasks on many machines, within the state service's rates: a round of
+/// bindings costs a change for a shelf of machines, not one for each of them.
+#[test]
+fn hundreds_of_tasks_start_within_the_rate_of_changes() {
+    let mut w = World::large(3, 54);
+    w.run(5_000);
+    for i in 0..300 {
+        w.add_worker(i, support::ZONES[i % 2], false, 100);
+    }
+    w.run(3_000);
+    for id in 0..12 {
+        w.submit(id as usize % 3, &job(id, "t1", 50, 10.0));
+    }
+    let (from, writes) = (w.now, w.state.writes);
+    while w.starts.len() < 600 && w.now < from + 30_000 {
+        w.run(250);
+    }
+    assert_eq!(w.starts.len(), 600);
+    assert!(w.now < from + 8_000, "took {} ms", w.now - from);
+    assert!(w.state.writes - writes < 100, "{} changes", w.state.writes - writes);
+    for id in 0..12 {
+        assert!(w.until_done(&format!("run-{id:06}"), 60_000));
+    }
+    assert!(w.starts.values().all(|n| *n == 1));
+    assert_eq!(w.state.refused, 0);
+    w.fair();
+}
+
 /// With machines in one zone only, no more than half of the tasks run at once.
 #[test]
 fn scattered_tasks_wait_rather_than_crowd_one_zone() {
@@ -581,7 +621,7 @@
         .returned
         .iter()
         .filter(|n| !before.contains(n))
-        .filter(|n| w.state.keys.iter().any(|(k, v)| k.ends_with(n.as_str()) && !v.0["j"].is_null()))
+        .filter(|n| w.shelf_of(n).is_some_and(|(_, row)| !row[3].as_array().unwrap().is_empty()))
         .collect();
     assert!(busy.is_empty(), "returned {busy:?}");
     assert!(w.starts.values().all(|n| *n == 1));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -22,6 +22,19 @@
 pub const CANCEL_MS: u64 = 40_000;
 
 pub fn platform(node: usize, nodes: usize) -> Platform {
+    Platform::parse("test.toml", &settings(node, nodes)).expect("settings")
+}
+
+/// The same for hundreds of machines: large teams, few changes a second.
+pub fn large_platform(node: usize, nodes: usize) -> Platform {
+    let s = settings(node, nodes)
+        .replace("cpus_max=64.0", "cpus_max=4000.0")
+        .replace("write_rps=200.0", "write_rps=20.0")
+        .replace("rps=500.0", "rps=150.0");
+    Platform::parse("test.toml", &s).expect("settings")
+}
+
+fn settings(node: usize, nodes: usize) -> String {
     let mut s = format!(
         "host_name=\"n{node}\"\ndomain=\"{}\"\nbind=\"127.0.0.1:1\"\ninternal_addr=\"127.0.0.1:2\"\n",
         ZONES[node % 2]
@@ -39,7 +52,7 @@
           [cluster.state]\nrps=500.0\nwrite_rps=200.0\nvalue_kb=8.0\ntxn_ops=12\n\
           [cluster.cloud]\nrps=5.0\nlist_lag_s=4.0\n\
           [cluster.limits]\nmax_connections=800\n";
-    Platform::parse("test.toml", &s).expect("settings")
+    s
 }
 
 pub fn job(id: u32, team: &str, tasks: u32, run_s: f64) -> Value {
@@ -64,9 +77,31 @@
     pub refuses: HashSet<usize>,
     watches: Vec<(usize, u64, u64, String, u64, u64)>,
     pub writes: u64,
+    /// Requests and changes a second, with bursts of a second's worth; none:
+    /// not enforced.
+    pub rates: Option<(f64, f64)>,
+    tokens: (f64, f64, u64),
+    pub refused: u64,
 }
 
 impl State {
+    /// Whether the service has to answer 429.
+    fn over_rate(&mut self, now: u64, op: &StateOp) -> bool {
+        let Some((rps, writes)) = self.rates else { return false };
+        let passed = (now - self.tokens.2) as f64 / 1000.0;
+        self.tokens.0 = (self.tokens.0 + rps * passed).min(rps);
+        self.tokens.1 = (self.tokens.1 + writes * passed).min(writes);
+        self.tokens.2 = now;
+        let n = if let StateOp::Txn(t) = op { t.changes.len() as f64 } else { 0.0 };
+        if self.tokens.0 < 1.0 || self.tokens.1 < n {
+            self.refused += 1;
+            return true;
+        }
+        self.tokens.0 -= 1.0;
+        self.tokens.1 -= n;
+        false
+    }
+
     fn change(&mut self, key: &str, value: Option<(Value, Option<u64>)>) {
         let version = self.revision;
         let (put, delete) =
@@ -309,10 +344,24 @@
     pub slow_txn: HashMap<usize, u64>,
     /// How long frames between nodes take.
     pub frame_ms: u64,
+    large: bool,
 }
 
 impl World {
     pub fn new(nodes: usize, seed: u64) -> World {
+        World::sized(nodes, seed, false)
+    }
+
+    /// With the rates of the settings enforced, and no machines to be had but
+    /// those that a story adds.
+    pub fn large(nodes: usize, seed: u64) -> World {
+        let mut w = World::sized(nodes, seed, true);
+        w.state.rates = Some((150.0, 20.0));
+        w.capacity = 0;
+        w
+    }
+
+    fn sized(nodes: usize, seed: u64, large: bool) -> World {
         let mut w = World {
             now: 1000,
             nodes: (0..nodes).map(|_| None).collect(),
@@ -346,6 +395,7 @@
             slow_watch: HashMap::new(),
             slow_txn: HashMap::new(),
             frame_ms: 2,
+            large,
         };
         for i in 0..nodes {
             w.boot(i);
@@ -356,7 +406,8 @@
     pub fn boot(&mut self, node: usize) {
         self.next_inc += 1;
         let inc = self.next_inc;
-        let cfg = Arc::new(platform(node, self.n));
+        let cfg = if self.large { large_platform(node, self.n) } else { platform(node, self.n) };
+        let cfg = Arc::new(cfg);
         let core = Core::new(cfg, Operator::default(), inc, inc * 7, self.now);
         self.nodes[node] = Some((core, inc));
     }
@@ -463,10 +514,15 @@
         rec["node"].as_str().unwrap()[1..].parse().unwrap()
     }
 
-    /// The key of a machine's record.
-    pub fn place_key(&self, worker: usize) -> Option<String> {
-        let name = &self.workers[worker].name;
-        self.state.keys.keys().find(|k| k.starts_with("place/") && k.ends_with(name.as_str())).cloned()
+    /// The record that lists a machine, and the machine's row in it.
+    pub fn shelf_of(&self, name: &str) -> Option<(String, Value)> {
+        let shelves = self.state.keys.iter().filter(|(k, _)| k.starts_with("place/"));
+        shelves
+            .filter_map(|(k, v)| {
+                let rows = v.0["m"].as_array()?;
+                Some((k.clone(), rows.iter().find(|r| r[0] == name)?.clone()))
+            })
+            .next()
     }
 
     /// Submits until accepted.
@@ -533,7 +589,7 @@
     fn handle(&mut self, ev: Ev) {
         match ev {
             Ev::StateReq { node, inc, call, op, silent, late } => {
-                let refused = self.state.refuses.contains(&node);
+                let refused = self.state.refuses.contains(&node) || self.state.over_rate(self.now, &op);
                 if let StateOp::Watch { prefix, since, block_ms } = &op {
                     if self.state.down || refused {
                         self.push(2, Ev::StateRes { node, inc, call, result: StateResult::NotExecuted });
@@ -861,7 +917,8 @@
         if one && zones.len() > 1 || scatter && zones.values().any(|n| *n > total.div_ceil(2)) {
             self.broken.push(format!("{} wrong_place (zones) {job}/{task}", self.now));
         }
-        for (team, limit) in [("t0", 32.0), ("t1", 64.0)] {
+        let most = if self.large { 4000.0 } else { 64.0 };
+        for (team, limit) in [("t0", 32.0), ("t1", most)] {
             if used.get(team).is_some_and(|u| *u > limit) {
                 self.broken.push(format!("{} quota {team}", self.now));
             }
