--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -6,7 +6,7 @@
 //! names hold the term and a number and are never used twice.
 
 use super::forecast::History;
-use super::grants::{Room, Zones, quota_tasks};
+use super::grants::{Rooms, Zones, may_use, quota_tasks};
 use super::leader::{FleetRecord, Leader};
 use super::model::{Ms, Names, Res};
 use super::shared::{Pace, Shared};
@@ -26,6 +26,9 @@
 /// A boot that takes this many times the usual is given up.
 const BOOT_FACTOR: f64 = 3.5;
 const SHUN_MS: Ms = 45_000;
+/// Machines that one plan may ask for: a bound on the time it takes, far
+/// beyond what one window can rent.
+const MAX_PLAN: usize = 4_000;
 /// A machine that was listed and no longer is, and is silent for so long, is
 /// returned: the confirmation proves that it is gone.
 const VANISHED_MS: Ms = 8_000;
@@ -445,37 +448,22 @@
     /// Machines that would house the waiting tasks beyond free, booting and
     /// requested room, cheapest for the tasks that each would take.
     fn plan(&self, sh: &Shared) -> BTreeMap<Offer, u32> {
+        if self.fleet.waiting.is_empty() {
+            return BTreeMap::new();
+        }
         let mut rooms = self.rooms(sh);
-        for (ix, m) in &self.fleet.machines {
-            if m.phase == Phase::Booting
-                && let Some(t) = sh.types.get(m.kind)
-            {
-                rooms.push(Room {
-                    machine: *ix,
-                    block: m.block,
-                    kind: m.kind,
-                    spot: m.spot,
-                    zone: m.zone.clone(),
-                    free: t.room,
-                    total: t.room,
-                });
+        for (ix, m) in self.fleet.machines.iter().filter(|(_, m)| m.phase == Phase::Booting) {
+            if let Some(t) = sh.types.get(m.kind) {
+                rooms.push(m.kind, &m.zone, m.spot, t.room, (*ix, m.block, t.room));
             }
         }
         for r in &self.fleet.rents {
             let Some(t) = sh.types.get(r.offer.0) else { continue };
             for _ in 0..r.count {
-                rooms.push(Room {
-                    machine: u32::MAX,
-                    block: 0,
-                    kind: r.offer.0,
-                    spot: r.offer.2,
-                    zone: r.offer.1.clone(),
-                    free: t.room,
-                    total: t.room,
-                });
+                rooms.push(r.offer.0, &r.offer.1, r.offer.2, t.room, (u32::MAX, 0, t.room));
             }
         }
-        let old = rooms.len();
+        let mut new = 0;
         let mut used = self.team_use(sh);
         let mut count: HashMap<(usize, &str, bool), u32> = HashMap::new();
         for m in self.fleet.machines.values() {
@@ -489,24 +477,14 @@
             let team = &sh.cfg.cluster.teams[j.team];
             let mut n = n.min(quota_tasks(team, &used[j.team], &need));
             let mut zones = Zones::of(self, ix, spec);
-            for _ in 0..n {
-                used[j.team].add(&need);
-            }
-            while n > 0 {
-                let fit = rooms.iter_mut().find(|r| {
-                    need.fits(&r.free)
-                        && allowed(spec, &sh.types[r.kind].name, &r.zone, r.spot)
-                        && zones.allows(&r.zone)
-                });
-                if let Some(r) = fit {
-                    r.free.sub(&need);
-                    zones.add(&r.zone);
-                    n -= 1;
-                    continue;
-                }
-                if rooms.len() - old >= 60 {
+            used[j.team].add(&need.times(n));
+            for i in rooms.with_place(&need, |c| may_use(sh, spec, c)) {
+                if n == 0 {
                     break;
                 }
+                n -= put(&mut rooms, i, &need, n, &mut zones);
+            }
+            while n > 0 && new < MAX_PLAN {
                 let mut best: Option<(f64, Offer)> = None;
                 for (k, t) in sh.types.iter().enumerate() {
                     let holds = need.times_in(&t.room).min(n);
@@ -535,15 +513,10 @@
                 }
                 let Some((_, offer)) = best else { break };
                 let room = sh.types[offer.0].room;
-                rooms.push(Room {
-                    machine: u32::MAX,
-                    block: 0,
-                    kind: offer.0,
-                    spot: offer.2,
-                    zone: offer.1.clone(),
-                    free: room,
-                    total: room,
-                });
+                rooms.push(offer.0, &offer.1, offer.2, room, (u32::MAX, 0, room));
+                new += 1;
+                let last = rooms.list.len() - 1;
+                n -= put(&mut rooms, last, &need, n, &mut zones);
                 *plan.entry(offer).or_default() += 1;
             }
         }
@@ -962,6 +935,19 @@
     }
 }
 
+/// Puts as many of `n` tasks into a room as it takes; how many.
+fn put(rooms: &mut Rooms, i: usize, need: &Res, n: u32, zones: &mut Zones) -> u32 {
+    let zone = &rooms.classes[rooms.list[i].class].zone;
+    let free = &mut rooms.list[i].free;
+    let mut done = 0;
+    while done < n && need.fits(free) && zones.allows(zone) {
+        free.sub(need);
+        zones.add(zone);
+        done += 1;
+    }
+    done
+}
+
 /// Takes one machine of the kind out of a plan.
 fn take_from(plan: &mut BTreeMap<Offer, u32>, kind: usize, spot: bool) -> Option<Offer> {
     let offer = plan.iter().find(|((k, _, s), n)| *k == kind && *s == spot && **n > 0)?.0.clone();
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -10,7 +10,7 @@
 use super::window::{allowed, fit_score};
 use crate::config::Objective;
 use crate::wire::peer::HaveState;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Grants of one round; the next one follows at once.
 const MAX_GRANTS: usize = 400;
@@ -19,16 +19,79 @@
 /// A job that no aim speaks of is to be started this long after its arrival.
 const DUE_WITHOUT_AIM_S: f64 = 60.0;
 
+/// Machines that are alike to a job: same type, zone and kind.
+#[derive(Debug, Clone)]
+pub struct Class {
+    pub kind: usize,
+    pub zone: String,
+    pub spot: bool,
+    pub total: Res,
+    rooms: Vec<usize>,
+    /// No room of this class has more free than this.
+    most: Res,
+}
+
 /// Free room of one machine, as far as the leader knows.
 #[derive(Debug, Clone)]
 pub struct Room {
     pub machine: u32,
     pub block: u32,
-    pub kind: usize,
-    pub spot: bool,
-    pub zone: String,
+    pub class: usize,
     pub free: Res,
-    pub total: Res,
+}
+
+/// All rooms by class, so that a job looks at what it may use and nothing
+/// else: with thousands of machines full, most jobs look at no room at all.
+#[derive(Debug, Clone, Default)]
+pub struct Rooms {
+    pub classes: Vec<Class>,
+    pub list: Vec<Room>,
+}
+
+impl Rooms {
+    pub fn push(&mut self, kind: usize, zone: &str, spot: bool, total: Res, room: (u32, u32, Res)) {
+        let found = self.classes.iter().position(|c| c.kind == kind && c.spot == spot && c.zone == zone);
+        let class = found.unwrap_or_else(|| {
+            let most = Res::default();
+            let zone = zone.to_string();
+            self.classes.push(Class { kind, zone, spot, total, rooms: Vec::new(), most });
+            self.classes.len() - 1
+        });
+        let (machine, block, free) = room;
+        let c = &mut self.classes[class];
+        c.rooms.push(self.list.len());
+        c.most = c.most.max(&free);
+        self.list.push(Room { machine, block, class, free });
+    }
+
+    /// Rooms with place for one task, of the classes that will do.
+    pub fn with_place(&mut self, need: &Res, will_do: impl Fn(&Class) -> bool) -> Vec<usize> {
+        let mut out = Vec::new();
+        for c in &mut self.classes {
+            if !need.fits(&c.most) || !will_do(c) {
+                continue;
+            }
+            c.most = Res::default();
+            for &i in &c.rooms {
+                let free = &self.list[i].free;
+                c.most = c.most.max(free);
+                if need.fits(free) {
+                    out.push(i);
+                }
+            }
+        }
+        out
+    }
+
+    pub fn class(&self, room: usize) -> &Class {
+        &self.classes[self.list[room].class]
+    }
+}
+
+/// Whether a job may use machines of this class.
+pub fn may_use(sh: &Shared, spec: &Spec, c: &Class) -> bool {
+    sh.types.get(c.kind).is_some_and(|t| allowed(spec, &t.name, &c.zone, c.spot))
+        && spec.need().fits(&c.total)
 }
 
 impl Leader {
@@ -44,14 +107,14 @@
     }
 
     /// Machines that may get tasks now, with what is free on them.
-    pub fn rooms(&self, sh: &Shared) -> Vec<Room> {
+    pub fn rooms(&self, sh: &Shared) -> Rooms {
         let mut used: HashMap<u32, Res> = HashMap::new();
         for a in self.attempts.values().filter(|a| a.counts()) {
             if let Some(m) = a.machine {
                 used.entry(m).or_default().add(&a.need);
             }
         }
-        let mut out = Vec::new();
+        let mut out = Rooms::default();
         for (ix, m) in &self.fleet.machines {
             let Some(b) = self.blocks.get(m.block as usize) else { continue };
             if !b.shown || !m.takes_tasks(sh.now) {
@@ -62,15 +125,7 @@
             if let Some(u) = used.get(ix) {
                 free.sub(u);
             }
-            out.push(Room {
-                machine: *ix,
-                block: m.block,
-                kind: m.kind,
-                spot: m.spot,
-                zone: m.zone.clone(),
-                free,
-                total: t.room,
-            });
+            out.push(m.kind, &m.zone, m.spot, t.room, (*ix, m.block, free));
         }
         out
     }
@@ -132,14 +187,22 @@
             let mut quota = quota_tasks(team, &used[j.team], &need);
             let team_ix = j.team;
             let mut zones = Zones::of(self, ix, &spec);
+            // Best fit: a room that takes a task is the better fit for the next.
+            let mut places = best_rooms(sh, &mut rooms, &spec, quota).into_iter().peekable();
             while quota > 0 && granted < MAX_GRANTS {
                 let Some(task) = self.jobs.get_mut(&ix).and_then(|j| j.peek()) else { break };
-                let Some(r) = best_room(sh, &mut rooms, &spec, &zones) else { break };
+                let Some(&i) = places.peek() else { break };
+                let zone = &rooms.classes[rooms.list[i].class].zone;
+                let r = &mut rooms.list[i];
+                if !need.fits(&r.free) || !zones.allows(zone) {
+                    places.next();
+                    continue;
+                }
                 if let Some(j) = self.jobs.get_mut(&ix) {
                     j.take();
                 }
                 r.free.sub(&need);
-                zones.add(&r.zone);
+                zones.add(zone);
                 let (machine, block) = (r.machine, r.block);
                 used[team_ix].add(&need);
                 self.new_attempt(ix, task, machine, block);
@@ -168,7 +231,7 @@
     /// and what other teams run beyond their guarantee gives way to work
     /// within one. Stops what loses least, little at a time, and nothing
     /// while earlier stops are still under way.
-    fn preempt(&mut self, sh: &Shared, rooms: &[Room], left: &[(u32, u32)], mut used: Vec<Res>) {
+    fn preempt(&mut self, sh: &Shared, rooms: &Rooms, left: &[(u32, u32)], mut used: Vec<Res>) {
         if sh.now < self.preempt_at || self.attempts.values().any(|a| !a.want && a.counts()) {
             return;
         }
@@ -183,14 +246,9 @@
             let need = spec.need();
             let zones = Zones::of(self, *ix, &spec);
             let mut best: Option<(u64, Vec<u64>)> = None;
-            for r in rooms {
-                let Some(t) = sh.types.get(r.kind) else { continue };
-                if !allowed(&spec, &t.name, &r.zone, r.spot)
-                    || !zones.allows(&r.zone)
-                    || !need.fits(&r.total)
-                {
-                    continue;
-                }
+            let will_do: Vec<bool> =
+                rooms.classes.iter().map(|c| may_use(sh, &spec, c) && zones.allows(&c.zone)).collect();
+            for r in rooms.list.iter().filter(|r| will_do[r.class]) {
                 let mut victims: Vec<(u64, u64)> = self
                     .attempts
                     .iter()
@@ -236,15 +294,19 @@
 
     /// Names the tasks that fit no free room to the blocks whose machines
     /// could take them, so that the holders count them in their projection.
-    fn spread_waiting(&mut self, sh: &Shared, rooms: &[Room], left: &[(u32, u32)]) {
+    fn spread_waiting(&mut self, sh: &Shared, rooms: &Rooms, left: &[(u32, u32)]) {
         let mut lists: Vec<Vec<(u32, u32)>> = vec![Vec::new(); self.blocks.len()];
+        let mut counts: BTreeMap<(usize, u32), u32> = BTreeMap::new();
+        for r in &rooms.list {
+            *counts.entry((r.class, r.block)).or_default() += 1;
+        }
         for &(ix, n) in left {
             let Some(j) = self.jobs.get(&ix) else { continue };
+            let will_do: Vec<bool> = rooms.classes.iter().map(|c| may_use(sh, &j.spec, c)).collect();
             let mut able = vec![0u32; self.blocks.len()];
-            for r in rooms {
-                let name = sh.types.get(r.kind).map_or("", |t| t.name.as_str());
-                if allowed(&j.spec, name, &r.zone, r.spot) && j.spec.need().fits(&r.total) {
-                    able[r.block as usize] += 1;
+            for ((class, block), n) in &counts {
+                if will_do[*class] {
+                    able[*block as usize] += n;
                 }
             }
             let sum: u32 = able.iter().sum();
@@ -253,7 +315,8 @@
             }
             let mut rest = n;
             for (b, a) in able.iter().enumerate() {
-                let part = (n * a).div_ceil(sum).min(rest);
+                let part = (u64::from(n) * u64::from(*a)).div_ceil(u64::from(sum)) as u32;
+                let part = part.min(rest);
                 if part > 0 {
                     lists[b].push((ix, part));
                     rest -= part;
@@ -344,23 +407,21 @@
     }
 }
 
-fn best_room<'a>(
-    sh: &Shared,
-    rooms: &'a mut [Room],
-    spec: &Spec,
-    zones: &Zones,
-) -> Option<&'a mut Room> {
-    let need = spec.need();
-    let mut best: Option<(f64, usize)> = None;
-    for (i, r) in rooms.iter().enumerate() {
-        let Some(t) = sh.types.get(r.kind) else { continue };
-        if !need.fits(&r.free) || !allowed(spec, &t.name, &r.zone, r.spot) || !zones.allows(&r.zone) {
-            continue;
-        }
-        let score = fit_score(&need, &r.free, &r.total, spec.spot && !r.spot, true);
-        if best.is_none_or(|(s, _)| score < s) {
-            best = Some((score, i));
-        }
+/// Rooms for the job's tasks, best fit first.
+fn best_rooms(sh: &Shared, rooms: &mut Rooms, spec: &Spec, quota: u32) -> Vec<usize> {
+    if quota == 0 {
+        return Vec::new();
     }
-    best.map(|(_, i)| &mut rooms[i])
+    let need = spec.need();
+    let mut scored: Vec<(f64, usize)> = rooms
+        .with_place(&need, |c| may_use(sh, spec, c))
+        .into_iter()
+        .map(|i| {
+            let c = rooms.class(i);
+            let score = fit_score(&need, &rooms.list[i].free, &c.total, spec.spot && !c.spot, true);
+            (score, i)
+        })
+        .collect();
+    scored.sort_by(|a, b| a.0.total_cmp(&b.0));
+    scored.into_iter().map(|(_, i)| i).collect()
 }
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -99,6 +99,17 @@
         self.mem -= o.mem;
     }
 
+    /// The larger of both in each dimension.
+    pub fn max(&self, o: &Res) -> Res {
+        Res { cpus: self.cpus.max(o.cpus), gpus: self.gpus.max(o.gpus), mem: self.mem.max(o.mem) }
+    }
+
+    /// So many times this.
+    pub fn times(&self, n: u32) -> Res {
+        let n = f64::from(n);
+        Res { cpus: self.cpus * n, gpus: self.gpus * n, mem: self.mem * n }
+    }
+
     /// The largest share of `room` taken in any dimension.
     pub fn share_of(&self, room: &Res) -> f64 {
         let part = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -501,6 +501,27 @@
     w.fair();
 }
 
+/// With no machine up, present need alone decides, and all of it at once:
+/// machines come fifty to a call, within the cloud's rate.
+#[test]
+fn a_first_demand_of_hundreds_of_machines_is_rented_in_few_calls() {
+    let mut w = World::large(3, 55);
+    w.capacity = 400;
+    w.run(5_000);
+    let calls = w.cloud_calls;
+    for id in 0..4 {
+        w.submit(id as usize % 3, &job(id, "t1", 240, 10.0));
+    }
+    w.run(6_000);
+    assert!(w.rented >= 240, "{} machines after 6 s", w.rented);
+    assert!(w.cloud_calls - calls < 20, "{} calls", w.cloud_calls - calls);
+    for id in 0..4 {
+        assert!(w.until_done(&format!("run-{id:06}"), 120_000));
+    }
+    assert_eq!(w.cloud_refused, 0);
+    w.fair();
+}
+
 /// With machines in one zone only, no more than half of the tasks run at once.
 #[test]
 fn scattered_tasks_wait_rather_than_crowd_one_zone() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -20,6 +20,7 @@
 pub const ZONES: [&str; 2] = ["east", "west"];
 pub const LEASE_MS: u64 = 20_000;
 pub const CANCEL_MS: u64 = 40_000;
+const CLOUD_RPS: f64 = 5.0;
 
 pub fn platform(node: usize, nodes: usize) -> Platform {
     Platform::parse("test.toml", &settings(node, nodes)).expect("settings")
@@ -345,6 +346,10 @@
     /// How long frames between nodes take.
     pub frame_ms: u64,
     large: bool,
+    /// Calls to the cloud: left of the rate, as of when, made, refused.
+    cloud_rate: (f64, u64),
+    pub cloud_calls: u32,
+    pub cloud_refused: u32,
 }
 
 impl World {
@@ -396,6 +401,9 @@
             slow_txn: HashMap::new(),
             frame_ms: 2,
             large,
+            cloud_rate: (CLOUD_RPS, 0),
+            cloud_calls: 0,
+            cloud_refused: 0,
         };
         for i in 0..nodes {
             w.boot(i);
@@ -677,6 +685,15 @@
         if self.cloud_down {
             return CloudResult::NotExecuted;
         }
+        self.cloud_calls += 1;
+        let (left, at) = self.cloud_rate;
+        let left = (left + CLOUD_RPS * (self.now - at) as f64 / 1000.0).min(2.0 * CLOUD_RPS);
+        if left < 1.0 {
+            self.cloud_rate = (left, self.now);
+            self.cloud_refused += 1;
+            return CloudResult::NotExecuted;
+        }
+        self.cloud_rate = (left - 1.0, self.now);
         match op {
             CloudOp::Catalog => CloudResult::Catalog(
                 serde_json::from_value(json!({"hulltypes":[{"label":"m16","cores":16,"cards":0,
@@ -703,6 +720,7 @@
                 )
             }
             CloudOp::Rent(r) => {
+                assert!(r.count <= 50, "{} machines in one request", r.count);
                 if let Some(old) = self.charters.get(&r.request) {
                     return CloudResult::Rented(serde_json::from_value(json!({"hulls":old})).unwrap());
                 }
@@ -721,6 +739,7 @@
                 CloudResult::Rented(serde_json::from_value(json!({"hulls":names})).unwrap())
             }
             CloudOp::Return(r) => {
+                assert!(r.machines.len() <= 100, "{} names in one request", r.machines.len());
                 for name in r.machines {
                     if let Some(w) = self.workers.iter_mut().find(|w| w.name == name) {
                         w.alive = false;
