Freshness of machines follows from the interval of their reports

Cause: holder and leader took 9 s of silence for staleness; with reports every 8 s, plus a quarter, healthy machines dropped out of placement and others were rented for them. Now 1.25 intervals and 5.25 s (9 s as before at 3 s).

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -16,8 +16,6 @@
 use crate::wire::peer::{HaveMachine, Retire};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// A machine whose reports stop for so long gets no new tasks.
-const FRESH_MS: Ms = 9_000;
 const LIST_EVERY_MS: Ms = 3_000;
 const CATALOG_EVERY_MS: Ms = 45_000;
 /// Refusals are remembered for so long, doubling up to the second figure.
@@ -29,9 +27,6 @@
 /// Machines that one plan may ask for: a bound on the time it takes, far
 /// beyond what one window can rent.
 const MAX_PLAN: usize = 4_000;
-/// A machine that was listed and no longer is, and is silent for so long, is
-/// returned: the confirmation proves that it is gone.
-const VANISHED_MS: Ms = 8_000;
 /// Machines are charged for at least a minute, so younger ones stay.
 const MIN_CHARGE_MS: Ms = 60_000;
 
@@ -74,12 +69,12 @@
 }
 
 impl LMachine {
-    pub fn takes_tasks(&self, now: Ms) -> bool {
+    pub fn takes_tasks(&self, sh: &Shared) -> bool {
         self.phase == Phase::Up
             && !self.isolated
             && !self.notice
-            && self.shun_until <= now
-            && self.heard.is_some_and(|at| at + FRESH_MS > now)
+            && self.shun_until <= sh.now
+            && self.heard.is_some_and(|at| at + sh.fresh_ms > sh.now)
     }
 }
 
@@ -374,7 +369,9 @@
                 && m.heard.is_none()
                 && (m.starting || mute);
             let silent = m.heard.map_or(0, |at| now.saturating_sub(at));
-            let vanished = m.missed >= 2 && silent > VANISHED_MS;
+            // Listed once and no more, and silent: its return, once confirmed,
+            // proves that it is gone.
+            let vanished = m.missed >= 2 && silent > sh.fresh_ms;
             let lost = silent > lease + 5_000;
             let drained = m.isolated && !busy.contains(ix) && m.phase == Phase::Up;
             if never || vanished || lost || drained {
@@ -630,7 +627,7 @@
             .fleet
             .machines
             .iter()
-            .filter(|(_, m)| m.takes_tasks(sh.now))
+            .filter(|(_, m)| m.takes_tasks(sh))
             .map(|(ix, m)| (m.peak, *ix))
             .collect();
         if running.is_empty() || running.iter().any(|(p, _)| *p >= level) {
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -117,7 +117,7 @@
         let mut out = Rooms::default();
         for (ix, m) in &self.fleet.machines {
             let Some(b) = self.blocks.get(m.block as usize) else { continue };
-            if !b.shown || !m.takes_tasks(sh.now) {
+            if !b.shown || !m.takes_tasks(sh) {
                 continue;
             }
             let Some(t) = sh.types.get(m.kind) else { continue };
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -18,8 +18,6 @@
 use crate::wire::workers::{Command, Op, Redirect, Report, ReportAnswer, ReportTask, TaskState};
 use std::collections::{HashMap, HashSet};
 
-/// A machine that has not reported for so long gets no new tasks.
-const FRESH_MS: Ms = 9_000;
 /// Sooner than this no second picture of a block is sent.
 const HAVE_GAP_MS: Ms = 60;
 const HAVE_EVERY_MS: Ms = 1_000;
@@ -154,14 +152,14 @@
         u
     }
 
-    fn takes_tasks(&self, now: Ms) -> bool {
+    fn takes_tasks(&self, sh: &Shared) -> bool {
         !self.notice
             && !self.isolated
             && !self.shunned
             && !self.retire
             && !self.returning_written
             && !self.dead
-            && self.last_report.is_some_and(|at| at + FRESH_MS > now)
+            && self.last_report.is_some_and(|at| at + sh.fresh_ms > sh.now)
     }
 
     /// Its return may be recorded: nothing is on it any more.
@@ -472,7 +470,7 @@
         let Some(h) = &mut self.blocks[block as usize] else { return false };
         let mut best: Option<(f64, usize)> = None;
         for (ix, m) in self.machines.iter().enumerate() {
-            let Some(m) = m.as_ref().filter(|m| m.block == block && m.takes_tasks(sh.now)) else {
+            let Some(m) = m.as_ref().filter(|m| m.block == block && m.takes_tasks(sh)) else {
                 continue;
             };
             if !window::allowed(&spec, &m.type_name, &m.zone, m.spot)
@@ -718,8 +716,7 @@
                 for _ in 0..count.min(500) {
                     let mut best: Option<(f64, usize)> = None;
                     for (ix, m) in self.machines.iter().enumerate() {
-                        let Some(m) =
-                            m.as_ref().filter(|m| m.block as usize == b && m.takes_tasks(sh.now))
+                        let Some(m) = m.as_ref().filter(|m| m.block as usize == b && m.takes_tasks(sh))
                         else {
                             continue;
                         };
@@ -804,7 +801,7 @@
 /// sooner; one with tasks also has their ends to tell, so it waits less. The
 /// worker gives up after 4 s.
 fn hold_ms(sh: &Shared, m: &Machine) -> Ms {
-    if !m.takes_tasks(sh.now) {
+    if !m.takes_tasks(sh) {
         return 0;
     }
     let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { return 0 };
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -74,6 +74,8 @@
     pub wall: Ms,
     pub started: Ms,
     pub authority_ms: Ms,
+    /// A machine silent for longer gets no new tasks.
+    pub fresh_ms: Ms,
     pub rng: StdRng,
 
     pub blocks: Vec<Block>,
@@ -120,6 +122,8 @@
         Shared {
             me: cfg.node.clone(),
             authority_ms: cfg.authority_ms(&op),
+            // The longest time between two reports, and a change of node.
+            fresh_ms: (cfg.cluster.workers.report_s * 1250.0) as Ms + 5_250,
             block_recs: vec![None; blocks.len()],
             blocks,
             op,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -522,6 +522,34 @@
     w.fair();
 }
 
+/// Where reports are rare, a machine that has just not reported is no reason to
+/// rent another one.
+#[test]
+fn a_machine_between_two_rare_reports_still_gets_work() {
+    // A window of the forecast begins at one time or another of these.
+    for start in 0..4 {
+        let mut w = World::large(3, 56);
+        w.run(5_000 + 2_500 * start);
+        w.add_worker(1, "east", false, 100);
+        w.add_worker(2, "east", false, 100);
+        w.run(1_500);
+        // The next reports are lost on their way.
+        for x in &mut w.workers {
+            x.cut = true;
+        }
+        w.run(9_500);
+        w.capacity = 20;
+        w.submit(0, &job(1, "t1", 8, 10.0));
+        w.run(3_500);
+        for x in &mut w.workers {
+            x.cut = false;
+        }
+        assert!(w.until_done("run-000001", 60_000));
+        assert_eq!(w.rented, 0, "machines that are there were passed over");
+        w.fair();
+    }
+}
+
 /// With machines in one zone only, no more than half of the tasks run at once.
 #[test]
 fn scattered_tasks_wait_rather_than_crowd_one_zone() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -26,9 +26,11 @@
     Platform::parse("test.toml", &settings(node, nodes)).expect("settings")
 }
 
-/// The same for hundreds of machines: large teams, few changes a second.
+/// The same for hundreds of machines: large teams, few changes a second, and
+/// rare reports.
 pub fn large_platform(node: usize, nodes: usize) -> Platform {
     let s = settings(node, nodes)
+        .replace("report_s=3.0", "report_s=8.0")
         .replace("cpus_max=64.0", "cpus_max=4000.0")
         .replace("write_rps=200.0", "write_rps=20.0")
         .replace("rps=500.0", "rps=150.0");
@@ -264,6 +266,7 @@
     lease_from: u64,
     flying: Option<(u64, u64)>,
     next_at: u64,
+    report_at: u64,
     node: usize,
     changed: bool,
 }
@@ -772,6 +775,7 @@
             lease_from: up_at,
             flying: None,
             next_at: up_at,
+            report_at: 0,
             node: number % self.n,
             changed: false,
         });
@@ -816,12 +820,13 @@
             w.node = (w.node + 1) % self.n;
             w.next_at = now + 1000;
         }
-        if w.flying.is_none() && (now >= w.next_at || w.changed && now + 2500 >= w.next_at) && !w.cut {
+        if w.flying.is_none() && (now >= w.next_at || w.changed && now >= w.report_at + 500) && !w.cut {
             w.changed = false;
             w.seq += 1;
             let id = self.seq + 1;
             w.flying = Some((id, now));
-            w.next_at = now + 2250 + jitter;
+            w.report_at = now;
+            w.next_at = now + if self.large { 6_000 + jitter * 8 / 3 } else { 2_250 + jitter };
             let (node, report) = (w.node, Box::new(w.report()));
             if !self.cut(node, usize::MAX) {
                 self.push(2, Ev::Report { worker: i, id, node, report });
