Attempts, not machines, are on shelves: no binding is refused for a full record

Ruled out by counting reasons of refusal: staleness, kinds, room. Change: attempts are counted from the smallest, sizes measured; a machine may have attempts on several records.

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -90,6 +90,8 @@
     pub id: u64,
     pub need: Res,
     pub team: String,
+    /// The record that it is in, or shall be.
+    pub shelf: u32,
     st: St,
     /// Part of a transaction that was sent: may be in the record.
     pub tried: bool,
@@ -323,27 +325,25 @@
         }
         for row in &rec.machines {
             let ix = self.machine_put(&row.0);
-            let mut m = Self::blank(&row.0, block, grant);
+            // Another shelf may have told of it already.
+            let mut m = match self.machines[ix as usize].take() {
+                Some(m) if m.grant == grant => m,
+                _ => Self::blank(&row.0, block, grant),
+            };
             m.type_name = rec.types.get(row.1 as usize).cloned().unwrap_or_default();
             m.zone = sh.blocks[block as usize].zone.clone();
             m.spot = row.is(ShelfMachine::SPOT);
-            m.isolated = row.is(ShelfMachine::ISOLATED);
-            m.isolated_written = m.isolated;
-            m.returning_written = row.is(ShelfMachine::RETURNING);
-            m.retire = m.returning_written;
-            m.shelf = Some(number);
-            m.attempts = inherited(sh, &rec, row);
-            // A machine that reported while the record was being read keeps
-            // what its report told.
-            if let Some(old) = self.machines[ix as usize].take().filter(|o| o.grant == grant) {
-                m.addr = old.addr;
-                m.session = old.session;
-                m.seq = old.seq;
-                m.last_report = old.last_report;
-                m.last_answer = old.last_answer;
-                m.fenced = old.fenced;
-                m.held = old.held;
+            m.returning_written |= row.is(ShelfMachine::RETURNING);
+            m.retire |= m.returning_written;
+            if row.is(ShelfMachine::ISOLATED | ShelfMachine::RETURNING) || m.shelf.is_none() {
+                m.shelf = Some(number);
+                m.isolated_written = row.is(ShelfMachine::ISOLATED);
+                m.isolated |= m.isolated_written;
             }
+            // What its report told meanwhile stays; and the record may be read
+            // a second time.
+            m.attempts.retain(|a| a.shelf != number);
+            m.attempts.extend(inherited(sh, &rec, row, number));
             self.machines[ix as usize] = Some(m);
         }
     }
@@ -419,7 +419,7 @@
             m.isolated = isolated.contains(m.name.as_str());
             m.retire = m.returning_written || w.retire.iter().any(|r| r.machine == m.name);
             m.shunned = shunned.contains(m.name.as_str());
-            let (dead, shelf) = (m.dead, m.shelf);
+            let dead = m.dead;
             for a in &mut m.attempts {
                 known.insert(a.id);
                 match wanted.get(&a.id) {
@@ -432,15 +432,12 @@
             }
             // What was never sent is nowhere, whatever the record says; what
             // ended on a dead machine needs no clearing.
-            let before = m.attempts.len();
-            m.attempts.retain(|a| {
-                let unsent = a.st == St::Bound && a.sent.is_none();
-                a.want || !(unsent || dead && a.st.ended())
-            });
-            if m.attempts.len() != before
-                && let Some(h) = &mut self.blocks[b]
-            {
-                shelves::mark_stale(h, shelf, sh.now);
+            if let Some(h) = &mut self.blocks[b] {
+                let gone = m.attempts.extract_if(.., |a| {
+                    let unsent = a.st == St::Bound && a.sent.is_none();
+                    !a.want && (unsent || dead && a.st.ended())
+                });
+                shelves::mark_stale(h, gone.map(|a| a.shelf), sh.now);
             }
         }
         let mut fresh: Vec<(u64, u32, u32, Ms)> = wanted
@@ -473,9 +470,7 @@
             let Some(m) = m.as_ref().filter(|m| m.block == block && m.takes_tasks(sh)) else {
                 continue;
             };
-            if !window::allowed(&spec, &m.type_name, &m.zone, m.spot)
-                || !shelves::has_room(sh, h, m, job, &spec.team)
-            {
+            if !window::allowed(&spec, &m.type_name, &m.zone, m.spot) {
                 continue;
             }
             let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { continue };
@@ -492,13 +487,14 @@
         }
         let Some((_, ix)) = best else { return false };
         let Some(m) = &mut self.machines[ix] else { return false };
-        shelves::reserve(sh, h, m, job, &spec.team);
+        let shelf = shelves::reserve(sh, h, m, job, &spec.team);
         m.attempts.push(Attempt {
             job,
             task,
             id,
             need,
             team: spec.team.clone(),
+            shelf,
             st: St::Bound,
             tried: false,
             written: false,
@@ -524,7 +520,7 @@
             sh.busy(held.req, "this machine has been returned");
         }
         if let Some(h) = &mut self.blocks[block as usize] {
-            shelves::mark_stale(h, m.shelf, sh.now);
+            shelves::mark_stale(h, m.attempts.iter().map(|a| a.shelf).chain(m.shelf), sh.now);
         }
     }
 
@@ -623,8 +619,8 @@
         let mut commands = Vec::new();
         if load == Load::Done {
             let gone = read_tasks(sh, m, &r.tasks, new_session, &mut commands);
-            if gone && let Some(h) = &mut self.blocks[b as usize] {
-                shelves::mark_stale(h, m.shelf, sh.now);
+            if let Some(h) = &mut self.blocks[b as usize] {
+                shelves::mark_stale(h, gone, sh.now);
             }
         }
         let hold = if load == Load::Done && commands.is_empty() { hold_ms(sh, m) } else { 0 };
@@ -696,8 +692,8 @@
             if m.attempts.iter().any(|a| !a.st.ended()) {
                 tracing::info!(machine = m.name, "lease ended; its tasks are gone");
             }
-            m.attempts.retain(|a| a.st == St::Done && a.want);
-            shelves::mark_stale(h, m.shelf, sh.now);
+            let gone = m.attempts.extract_if(.., |a| a.st != St::Done || !a.want);
+            shelves::mark_stale(h, gone.map(|a| a.shelf), sh.now);
             h.dirty = true;
         }
     }
@@ -833,10 +829,10 @@
     w.jobs.iter().all(|j| sh.job_ix(&j.job).is_some())
 }
 
-fn inherited(sh: &mut Shared, rec: &ShelfRecord, row: &ShelfMachine) -> Vec<Attempt> {
+fn inherited(sh: &Shared, rec: &ShelfRecord, row: &ShelfMachine, shelf: u32) -> Vec<Attempt> {
     let mut out = Vec::new();
-    for &(job, task, id) in &row.3 {
-        let Some(j) = rec.jobs.get(job as usize) else { continue };
+    for (job, task, id) in row.tasks(rec.base) {
+        let Some(j) = rec.jobs.get(job) else { continue };
         let Some(job) = sh.job_ix(&j.0) else {
             tracing::error!(job = j.0, "a machine's record names an unknown job");
             continue;
@@ -847,6 +843,7 @@
             id,
             need: Res { cpus: j.2, gpus: j.3, mem: j.4 },
             team: j.1.clone(),
+            shelf,
             st: St::Inherited,
             tried: true,
             written: true,
@@ -876,14 +873,14 @@
 }
 
 /// Takes in what a report says of the machine's tasks, and what it proves by
-/// not saying it. Whether anything is gone.
+/// not saying it. The shelves of what is gone.
 fn read_tasks(
     sh: &mut Shared,
     m: &mut Machine,
     tasks: &[ReportTask],
     new_session: bool,
     commands: &mut Vec<Command>,
-) -> bool {
+) -> Vec<u32> {
     let now = sh.now;
     let mut listed: HashSet<u64> = HashSet::new();
     for t in tasks {
@@ -924,28 +921,27 @@
     }
     let fenced = m.fenced;
     let machine = m.name.as_str();
-    let before = m.attempts.len();
-    m.attempts.retain(|a| {
+    let gone = m.attempts.extract_if(.., |a| {
         if listed.contains(&a.id) {
-            return true;
+            return false;
         }
-        let keep = match a.st {
+        match a.st {
             // Kept as knowledge until the leader has recorded it.
-            St::Done if a.want => true,
+            St::Done if a.want => false,
             // Not sent yet, or sent in an answer that the worker dropped:
             // as nothing cleared it, sending it again is safe.
-            St::Bound if a.want => true,
+            St::Bound if a.want => false,
             // The former holder's answer can't be under way any more once
             // the worker knows our token.
-            St::Inherited => !(fenced || new_session),
-            _ => false,
-        };
-        if !keep {
-            tracing::debug!(machine, job = sh.job_names.name(a.job), task = a.task, attempt = a.id, st = ?a.st, new_session, "gone");
+            St::Inherited => fenced || new_session,
+            _ => true,
         }
-        keep
     });
-    m.attempts.len() != before
+    gone.map(|a| {
+        tracing::debug!(machine, job = sh.job_names.name(a.job), task = a.task, attempt = a.id, st = ?a.st, new_session, "gone");
+        a.shelf
+    })
+    .collect()
 }
 
 /// What the worker shall do now.
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -357,8 +357,8 @@
             if let Some(known) = self.fleet.machines.get_mut(&ix) {
                 known.isolated = m.is(ShelfMachine::ISOLATED);
             }
-            for &(job, task, id) in &m.3 {
-                let Some(j) = rec.jobs.get(job as usize) else { continue };
+            for (job, task, id) in m.tasks(rec.base) {
+                let Some(j) = rec.jobs.get(job) else { continue };
                 let Some(job) = sh.job_ix(&j.0) else { continue };
                 self.attempts.insert(
                     id,
--- a/src/core/shelves.rs
+++ b/src/core/shelves.rs
@@ -3,7 +3,9 @@
 //! The state service takes few changes a second, and many tasks start in each,
 //! so one record speaks for many machines. All that has gathered for a shelf
 //! goes out in one change, under every condition that it rests on; while it is
-//! under way, or its outcome in doubt, the next batch gathers. The gap between
+//! under way, or its outcome in doubt, the next batch gathers. A shelf is full when
+//! its record nears the service's limit; further attempts go to the next, so
+//! that a machine may have attempts on several. The gap between
 //! two writes of a shelf widens with the number of shelves, so that all
 //! holders together keep within the service's rate.
 
@@ -16,10 +18,7 @@
 use std::collections::{HashMap, HashSet};
 
 /// Bytes kept free in a record for what the estimate leaves out.
-const RECORD_SLACK: usize = 600;
-/// A new machine goes to a shelf filled up to this share at most: those that
-/// are on it need room for the tasks to come.
-const FILL: f64 = 0.7;
+const RECORD_SLACK: usize = 200;
 /// Share of the service's changes that bindings may take of all nodes together.
 const RATE_SHARE: f64 = 0.65;
 const MIN_GAP_MS: Ms = 100;
@@ -79,58 +78,48 @@
 }
 
 /// Upper bounds of what each part adds to a record.
-fn attempt_bytes() -> usize {
-    36
-}
+const ATTEMPT_BYTES: usize = 24;
 
 fn machine_bytes(name: &str) -> usize {
-    name.len() + 16
+    name.len() + 14
 }
 
 fn job_bytes(name: &str, team: &str) -> usize {
-    name.len() + team.len() + 70
+    name.len() + team.len() + 60
 }
 
 pub fn shelf_key(block: &str, shelf: u32) -> String {
     format!("place/{block}/{shelf}")
 }
 
-/// Whether one more attempt on this machine surely fits its record.
-pub fn has_room(sh: &Shared, h: &HeldBlock, m: &Machine, job: u32, team: &str) -> bool {
-    let Some(shelf) = m.shelf.and_then(|s| h.shelves.get(s as usize)) else { return true };
-    shelf.bytes + cost(sh, shelf, m, job, team) <= limit(sh)
-}
-
-fn cost(sh: &Shared, shelf: &Shelf, m: &Machine, job: u32, team: &str) -> usize {
-    let known = shelf.jobs.contains(&job);
-    let header = if known { 0 } else { job_bytes(sh.job_names.name(job), team) };
-    attempt_bytes() + header + if m.attempts.is_empty() { machine_bytes(&m.name) } else { 0 }
-}
-
-/// Counts an attempt that is about to be added to the machine.
-pub fn reserve(sh: &Shared, h: &mut HeldBlock, m: &mut Machine, job: u32, team: &str) {
-    let shelf = assign(sh, h, m);
-    let more = cost(sh, &h.shelves[shelf as usize], m, job, team);
-    let shelf = &mut h.shelves[shelf as usize];
-    shelf.bytes += more;
-    shelf.jobs.insert(job);
-}
-
-/// The machine's shelf; a machine without one gets the first that has room.
-fn assign(sh: &Shared, h: &mut HeldBlock, m: &mut Machine) -> u32 {
-    if let Some(s) = m.shelf.filter(|s| (*s as usize) < h.shelves.len()) {
-        return s;
-    }
-    let fill = (limit(sh) as f64 * FILL) as usize;
-    let found = h.shelves.iter().position(|s| s.bytes <= fill);
+/// A shelf that surely has room for one more attempt on this machine: its own
+/// one rather than others, others rather than a new one.
+pub fn reserve(sh: &Shared, h: &mut HeldBlock, m: &mut Machine, job: u32, team: &str) -> u32 {
+    let header = job_bytes(sh.job_names.name(job), team);
+    let row = ATTEMPT_BYTES + machine_bytes(&m.name);
+    let most = limit(sh);
+    let fits = |s: &Shelf| s.bytes + row + if s.jobs.contains(&job) { 0 } else { header } <= most;
+    let own = m.shelf.filter(|s| h.shelves.get(*s as usize).is_some_and(fits));
+    let found = own.or_else(|| h.shelves.iter().position(fits).map(|s| s as u32));
     let s = found.unwrap_or_else(|| {
         h.shelves.push(Shelf::new(0, 0));
-        h.shelves.len() - 1
-    }) as u32;
-    m.shelf = Some(s);
+        h.shelves.len() as u32 - 1
+    });
+    m.shelf.get_or_insert(s);
+    let shelf = &mut h.shelves[s as usize];
+    shelf.bytes += row + if shelf.jobs.insert(job) { header } else { 0 };
     s
 }
 
+/// The shelf that a machine's own state is on.
+fn home(h: &mut HeldBlock, m: &mut Machine) -> u32 {
+    if h.shelves.is_empty() {
+        h.shelves.push(Shelf::new(0, 0));
+    }
+    let last = h.shelves.len() as u32 - 1;
+    *m.shelf.get_or_insert(last)
+}
+
 /// Time between two writes of a shelf when each node has as many as we have.
 fn gap_ms(sh: &Shared, own: usize) -> Ms {
     let nodes = sh.cfg.peers.len() + 1;
@@ -145,7 +134,7 @@
     let mut own = 0;
     let mut open = false;
     for h in blocks.iter().flatten() {
-        own += h.shelves.len();
+        own += h.shelves.iter().filter(|s| !s.jobs.is_empty()).count();
         open |= h.load == Load::Done;
     }
     if !open {
@@ -158,10 +147,14 @@
         if h.load != Load::Done || h.grant != m.grant {
             continue;
         }
-        let press = m.can_retire() || h.term == term && m.attempts.iter().any(|a| a.unwritten(sh));
-        if press || m.isolated != m.isolated_written {
-            let shelf = assign(sh, h, m);
-            *needs.entry((m.block, shelf)).or_default() |= press;
+        if h.term == term {
+            for a in m.attempts.iter().filter(|a| a.unwritten(sh)) {
+                needs.insert((m.block, a.shelf), true);
+            }
+        }
+        if m.can_retire() || m.isolated != m.isolated_written {
+            let shelf = home(h, m);
+            *needs.entry((m.block, shelf)).or_default() |= m.can_retire();
         }
     }
     for (b, h) in blocks.iter_mut().enumerate() {
@@ -226,13 +219,18 @@
     let mut checked: HashSet<u32> = HashSet::new();
     let mut done =
         Written { block, shelf, grant: h.grant, attempts: HashSet::new(), flags: HashMap::new() };
+    let ids = machines
+        .iter()
+        .flatten()
+        .filter(|m| m.block == block)
+        .flat_map(|m| m.attempts.iter().filter(|a| a.shelf == shelf).map(|a| a.id));
+    rec.base = ids.min().unwrap_or(0);
     let mut bytes = RECORD_SLACK;
     for (ix, m) in machines.iter_mut().enumerate() {
-        let Some(m) = m.as_mut().filter(|m| m.block == block && m.shelf == Some(shelf)) else {
-            continue;
-        };
+        let Some(m) = m.as_mut().filter(|m| m.block == block) else { continue };
         let mut flags = 0;
-        let mut flag = |on: bool, f: u8| flags |= if on { f } else { 0 };
+        let own = m.shelf == Some(shelf);
+        let mut flag = |on: bool, f: u8| flags |= if on && own { f } else { 0 };
         flag(m.isolated, ShelfMachine::ISOLATED);
         flag(m.returning_written || m.can_retire(), ShelfMachine::RETURNING);
         let keep = flags != 0;
@@ -240,9 +238,9 @@
             flags |= ShelfMachine::SPOT;
         }
         let mut tasks = Vec::new();
-        for a in &mut m.attempts {
+        for a in m.attempts.iter_mut().filter(|a| a.shelf == shelf) {
             // A binding granted by a former leader has no standing.
-            let more = attempt_bytes() + job_bytes(sh.job_names.name(a.job), &a.team);
+            let more = ATTEMPT_BYTES + job_bytes(sh.job_names.name(a.job), &a.team);
             let mut fresh = h.term == term && a.unwritten(sh) && bytes + more <= limit(sh);
             if fresh && !checked.contains(&a.job) {
                 if txn.conds.len() < most_conds {
@@ -274,8 +272,9 @@
                 ));
                 rec.jobs.len() as u32 - 1
             });
-            bytes += attempt_bytes();
-            tasks.push((row, a.task, a.id));
+            let row = [u64::from(row), u64::from(a.task), a.id - rec.base];
+            bytes += row.iter().map(|n| n.checked_ilog10().unwrap_or(0) as usize + 2).sum::<usize>();
+            tasks.extend(row);
         }
         if tasks.is_empty() && !keep {
             continue;
@@ -287,15 +286,18 @@
             rec.types.len() - 1
         });
         rec.machines.push(ShelfMachine(m.name.clone(), type_ix as u32, flags, tasks));
-        done.flags.insert(ix as u32, flags);
+        if own {
+            done.flags.insert(ix as u32, flags);
+        }
     }
     let state = &mut h.shelves[shelf as usize];
     state.write = Write::Flying;
     state.stale = None;
     state.jobs = jobs.into_keys().collect();
     // What is bound but did not get its condition yet still needs its place.
-    state.bytes = bytes + unwritten_bytes(sh, machines, block, shelf, &done);
     let value = serde_json::to_value(&rec).unwrap_or_default();
+    let bytes = value.to_string().len() + RECORD_SLACK;
+    state.bytes = bytes + unwritten_bytes(sh, machines, block, shelf, &done);
     txn.changes.push(Change::Put { key, value, lease: None });
     sh.state_call(Purpose::Holder(HolderCall::Write(done)), StateOp::Txn(txn));
 }
@@ -307,11 +309,11 @@
     shelf: u32,
     done: &Written,
 ) -> usize {
-    let on_shelf = |m: &&Machine| m.block == block && m.shelf == Some(shelf);
-    let left = |a: &&Attempt| a.unwritten(sh) && !done.attempts.contains(&a.id);
-    let count: usize =
-        machines.iter().flatten().filter(on_shelf).map(|m| m.attempts.iter().filter(left).count()).sum();
-    count * attempt_bytes()
+    let left = |a: &&Attempt| a.shelf == shelf && a.unwritten(sh) && !done.attempts.contains(&a.id);
+    let ours = machines.iter().flatten().filter(|m| m.block == block);
+    let row =
+        |m: &Machine| m.attempts.iter().filter(left).count() * (ATTEMPT_BYTES + machine_bytes(&m.name));
+    ours.map(row).sum()
 }
 
 pub fn on_written(
@@ -330,20 +332,15 @@
             shelf.write = Write::Idle;
             shelf.stamp = *revision;
             h.dirty = true;
-            let ours = |m: &&mut Machine| m.block == w.block && m.shelf == Some(w.shelf);
             for (ix, m) in machines.iter_mut().enumerate() {
-                let Some(m) = m.as_mut().filter(ours) else { continue };
-                let flags = w.flags.get(&(ix as u32)).copied();
-                let f = flags.unwrap_or(0);
-                m.isolated_written = f & ShelfMachine::ISOLATED != 0;
-                if f & ShelfMachine::RETURNING != 0 && !m.returning_written {
-                    m.returning_written = true;
-                }
-                for a in &mut m.attempts {
+                let Some(m) = m.as_mut().filter(|m| m.block == w.block) else { continue };
+                for a in m.attempts.iter_mut().filter(|a| a.shelf == w.shelf) {
                     a.written |= w.attempts.contains(&a.id);
                 }
-                if flags.is_none() && m.attempts.is_empty() {
-                    m.shelf = None;
+                if m.shelf == Some(w.shelf) {
+                    let f = w.flags.get(&(ix as u32)).copied().unwrap_or(0);
+                    m.isolated_written = f & ShelfMachine::ISOLATED != 0;
+                    m.returning_written |= f & ShelfMachine::RETURNING != 0;
                 }
             }
         }
@@ -387,18 +384,15 @@
             state.stale.get_or_insert(sh.now);
             let listed: HashMap<&str, &ShelfMachine> =
                 rec.machines.iter().map(|m| (m.0.as_str(), m)).collect();
-            let ours = |m: &&mut Machine| m.block == block && m.shelf == Some(shelf);
-            for m in machines.iter_mut().flatten().filter(ours) {
-                let Some(row) = listed.get(m.name.as_str()) else {
-                    m.isolated_written = false;
-                    continue;
-                };
-                m.isolated_written = row.is(ShelfMachine::ISOLATED);
-                if row.is(ShelfMachine::RETURNING) && !m.returning_written {
-                    m.returning_written = true;
+            for m in machines.iter_mut().flatten().filter(|m| m.block == block) {
+                let row = listed.get(m.name.as_str());
+                if m.shelf == Some(shelf) {
+                    m.isolated_written = row.is_some_and(|r| r.is(ShelfMachine::ISOLATED));
+                    m.returning_written |= row.is_some_and(|r| r.is(ShelfMachine::RETURNING));
                 }
-                for a in &mut m.attempts {
-                    a.written |= row.3.iter().any(|t| t.2 == a.id);
+                let Some(row) = row else { continue };
+                for a in m.attempts.iter_mut().filter(|a| a.shelf == shelf) {
+                    a.written |= row.tasks(rec.base).any(|t| t.2 == a.id);
                 }
             }
             h.dirty = true;
@@ -414,10 +408,12 @@
     }
 }
 
-/// Marks that the machine's record lists something that is gone.
-pub fn mark_stale(h: &mut HeldBlock, shelf: Option<u32>, now: Ms) {
-    if let Some(s) = shelf.and_then(|s| h.shelves.get_mut(s as usize)) {
-        s.stale.get_or_insert(now);
+/// Marks that records list what is gone.
+pub fn mark_stale(h: &mut HeldBlock, shelves: impl IntoIterator<Item = u32>, now: Ms) {
+    for s in shelves {
+        if let Some(s) = h.shelves.get_mut(s as usize) {
+            s.stale.get_or_insert(now);
+        }
     }
 }
 
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -136,10 +136,14 @@
 
 /// `place/<block>/<shelf>`: every attempt that may be on the machines of one
 /// shelf. Many machines share a record, so that a round of bindings costs one
-/// change and not one for each machine. Lists instead of named fields keep it
-/// small.
+/// change and not one for each machine. Lists instead of named fields, and
+/// attempts counted from the smallest, keep it small: how many tasks a record
+/// holds bounds how many can run.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Default)]
 pub struct ShelfRecord {
+    /// The smallest attempt below.
+    #[serde(rename = "b", default)]
+    pub base: u64,
     /// Machine types named below by their place here.
     #[serde(rename = "y", default)]
     pub types: Vec<String>,
@@ -155,9 +159,10 @@
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct ShelfJob(pub String, pub String, pub f64, pub f64, pub f64);
 
-/// Name, type, flags, and the attempts as (job, task, attempt).
+/// Name, type, flags, and three numbers for each attempt: its job's place
+/// above, its task, and the attempt from `base`.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
-pub struct ShelfMachine(pub String, pub u32, pub u8, pub Vec<(u32, u32, u64)>);
+pub struct ShelfMachine(pub String, pub u32, pub u8, pub Vec<u64>);
 
 impl ShelfMachine {
     pub const SPOT: u8 = 1;
@@ -167,4 +172,14 @@
     pub fn is(&self, flag: u8) -> bool {
         self.2 & flag != 0
     }
+
+    /// The attempts as (job's place, task, attempt). An incomplete row, of
+    /// another hand, ends the list.
+    pub fn tasks(&self, base: u64) -> impl Iterator<Item = (usize, u32, u64)> {
+        self.3
+            .as_chunks::<3>()
+            .0
+            .iter()
+            .map(move |t| (t[0] as usize, t[1] as u32, base.saturating_add(t[2])))
+    }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -229,9 +229,19 @@
     let old_jobs = old["j"].as_array().unwrap().clone();
     rec["j"].as_array_mut().unwrap().extend(old_jobs);
     let mut row = old_row;
-    for t in row[3].as_array_mut().unwrap() {
-        t[0] = json!(t[0].as_u64().unwrap() as usize + jobs);
+    let number = |v: &Value| v.as_u64().unwrap();
+    let base = number(&rec["b"]).min(number(&old["b"]));
+    for r in rec["m"].as_array_mut().unwrap().iter_mut() {
+        let more = number(&w.state.keys[&key].0["b"]) - base;
+        for t in r[3].as_array_mut().unwrap().chunks_mut(3) {
+            t[2] = json!(number(&t[2]) + more);
+        }
+    }
+    for t in row[3].as_array_mut().unwrap().chunks_mut(3) {
+        t[0] = json!(number(&t[0]) as usize + jobs);
+        t[2] = json!(number(&t[2]) + number(&old["b"]) - base);
     }
+    rec["b"] = json!(base);
     rec["m"].as_array_mut().unwrap().retain(|r| r[0] != name.as_str());
     rec["m"].as_array_mut().unwrap().push(row);
     w.state.keys.insert(key, (rec, revision, None));
@@ -501,6 +511,35 @@
     w.fair();
 }
 
+/// More tasks on one machine than one record holds: the next record takes them.
+/// A holder that refused them would have the leader grant them again for ever.
+#[test]
+fn a_full_record_refuses_no_task() {
+    let mut w = World::large(3, 57);
+    w.run(5_000);
+    for i in 1..3 {
+        w.add_worker(i, "west", false, 100);
+    }
+    w.run(1_500);
+    w.run_ms = 60_000;
+    for id in 0..4 {
+        let mut j = job(id, "t1", 250, 60.0);
+        j["cores"] = json!(0.03);
+        j["memory_gb"] = json!(0.1);
+        w.submit(0, &j);
+    }
+    w.run(15_000);
+    assert_eq!(w.starts.len(), 1000);
+    let old = w.leader().unwrap();
+    w.crash(old, 4_000);
+    w.crash((old + 1) % 3, 4_000);
+    for id in 0..4 {
+        assert!(w.until_done(&format!("run-{id:06}"), 120_000));
+    }
+    assert!(w.starts.values().all(|n| *n == 1));
+    w.fair();
+}
+
 /// With no machine up, present need alone decides, and all of it at once:
 /// machines come fifty to a call, within the cloud's rate.
 #[test]
