Machines that nothing reaches, workers reborn, late copies of reports

An answer written is not an answer received. A worker counts every report and sends the next only when the last is answered or given up: a run that a later report does not list never came and is given up at once; a skipped count or a lease that ended although we answered makes a machine deaf: no work, and back to the cloud if it lasts. A count that starts anew is taken only once the old lease has surely ended, and gets work after an echo of our token; a machine known from a report alone waits for the cloud's list or an echo.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -54,6 +54,11 @@
     pub isolated: bool,
     pub phase: Phase,
     listed: bool,
+    /// The cloud, a record or an echo of our token says that it is there; a
+    /// report alone may be a late copy of one long gone.
+    pub confirmed: bool,
+    /// Since when nothing reaches it.
+    deaf_since: Option<Ms>,
     /// The newest list calls it starting.
     starting: bool,
     /// Complete lists in a row that did not show it any more.
@@ -73,6 +78,9 @@
         self.phase == Phase::Up
             && !self.isolated
             && !self.notice
+            && self.confirmed
+            && self.deaf_since.is_none()
+            && self.missed < 2
             && self.shun_until <= sh.now
             && self.heard.is_some_and(|at| at + sh.fresh_ms > sh.now)
     }
@@ -221,6 +229,8 @@
             isolated: false,
             phase: Phase::Booting,
             listed: false,
+            confirmed: false,
+            deaf_since: None,
             starting: false,
             missed: 0,
             overloaded: false,
@@ -245,6 +255,8 @@
                 }
             }
             m.notice = h.notice;
+            m.confirmed |= h.fenced;
+            m.deaf_since = h.deaf.then(|| m.deaf_since.unwrap_or(sh.now));
             m.overloaded = h.overloaded;
             m.peak = h.peak;
             if h.returning && matches!(m.phase, Phase::Booting | Phase::Up | Phase::Retiring) {
@@ -373,14 +385,16 @@
             // proves that it is gone.
             let vanished = m.missed >= 2 && silent > sh.fresh_ms;
             let lost = silent > lease + 5_000;
+            let deaf = m.deaf_since.is_some_and(|at| now > at + lease);
             let drained = m.isolated && !busy.contains(ix) && m.phase == Phase::Up;
-            if never || vanished || lost || drained {
-                let why = match (never, vanished, lost) {
-                    (true, ..) => "did not boot",
-                    (_, true, _) => "vanished",
-                    (.., true) => "silent",
-                    _ => "drained",
-                };
+            let reasons = [
+                (never, "did not boot"),
+                (vanished, "vanished"),
+                (lost, "silent"),
+                (deaf, "unreachable"),
+                (drained, "drained"),
+            ];
+            if let Some((_, why)) = reasons.iter().find(|(is, _)| *is) {
                 tracing::info!(machine = m.name, why, "returning machine");
                 m.phase = Phase::Retiring;
                 if let Some(b) = self.blocks.get_mut(m.block as usize) {
@@ -840,6 +854,7 @@
                     let ix = self.fleet.put_known(sh, &machine, &name, zone, *spot);
                     if let Some(m) = self.fleet.machines.get_mut(&ix) {
                         m.since = m.since.min(r.at);
+                        m.confirmed = true;
                         rented.push(ix);
                     }
                 }
@@ -885,6 +900,7 @@
         let ix = self.put_known(sh, &l.name, &l.machine_type, &l.zone, l.spot);
         self.list_seen.insert(ix);
         let Some(m) = self.machines.get_mut(&ix) else { return };
+        m.confirmed = true;
         m.since = m.since.min(sh.now.saturating_sub((l.age_s.max(0.0) * 1000.0) as Ms));
         m.starting = l.state == "starting";
         if l.state == "failed" && m.phase < Phase::Retiring {
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -134,6 +134,15 @@
     peak: f64,
     /// Told by its lease or by the cloud.
     dead: bool,
+    /// (session, seq) of the last report that we answered with 200.
+    answered: Option<(u64, u64)>,
+    /// Reports in a row which show that our answer before did not arrive.
+    unheeded: u32,
+    /// Its reports arrive, but our answers don't reach it.
+    deaf: bool,
+    /// Back from the dead with a count that starts anew, or a late copy of a
+    /// report of old: it gets no work before it has shown our token.
+    reborn: bool,
     held: Option<Held>,
 }
 
@@ -161,9 +170,24 @@
             && !self.retire
             && !self.returning_written
             && !self.dead
+            && !self.deaf
+            && !self.reborn
             && self.last_report.is_some_and(|at| at + sh.fresh_ms > sh.now)
     }
 
+    /// Whether the report agrees with our last answer having arrived. A worker
+    /// counts every report, sends the next one only when the last is answered
+    /// or given up, and then to another node: so one that skips a count, or
+    /// whose lease ended although we answered, never saw the answer.
+    fn heeds(&self, r: &Report, peers: usize) -> bool {
+        match self.answered {
+            Some((s, q)) if (s, q) == (self.session, self.seq) => {
+                r.session == s && (r.seq == q + 1 || peers == 0)
+            }
+            _ => true,
+        }
+    }
+
     /// Its return may be recorded: nothing is on it any more.
     pub fn can_retire(&self) -> bool {
         self.retire
@@ -304,6 +328,10 @@
             overloaded: false,
             peak: 0.0,
             dead: false,
+            answered: None,
+            unheeded: 0,
+            deaf: false,
+            reborn: false,
             held: None,
         }
     }
@@ -598,12 +626,25 @@
             *m = Self::blank(&r.machine, b, grant);
             m.held = held;
         }
+        let mut reborn = false;
         if (r.session, r.seq) <= (m.session, m.seq) {
-            return sh.busy(req, "a newer report is known");
+            if !m.dead {
+                return sh.busy(req, "a newer report is known");
+            }
+            // Its lease is over and with it all that it had, so a count that
+            // starts anew is a worker that did. But it may be a late copy too.
+            reborn = true;
+            (m.session, m.seq, m.answered) = (0, 0, None);
         }
         // The first report that this holder sees is no new session: it may be
         // one that was under way before the tasks on record were started.
         let new_session = m.session != 0 && r.session > m.session;
+        if !m.heeds(&r, sh.cfg.peers.len()) {
+            m.unheeded += 1;
+            m.deaf |= m.unheeded >= 2;
+        } else if m.answered.is_some() {
+            (m.unheeded, m.deaf) = (0, false);
+        }
         m.dead = false;
         m.addr = r.addr;
         m.type_name = r.machine_type;
@@ -613,7 +654,8 @@
         m.seq = r.seq;
         m.notice = r.notice_s.is_some();
         m.last_report = Some(sh.now);
-        m.fenced |= r.token >= grant;
+        m.fenced = !reborn && (m.fenced || r.token >= grant);
+        m.reborn = reborn || m.reborn && !m.fenced;
         // The worker has given the earlier report up.
         let stale = m.held.take();
         let mut commands = Vec::new();
@@ -648,6 +690,7 @@
         let mut commands = held.commands;
         orders(sh, m, &mut commands);
         m.last_answer = Some(sh.now);
+        m.answered = Some((m.session, m.seq));
         sh.answer_json(held.req, 200, &ReportAnswer { token: m.grant, commands });
     }
 
@@ -920,7 +963,13 @@
         a.st = st;
     }
     let fenced = m.fenced;
-    let machine = m.name.as_str();
+    let newest = (m.session, m.seq);
+    let lost = |a: &Attempt| a.st == St::Bound && a.sent.is_some_and(|s| s < newest);
+    if m.attempts.iter().any(|a| lost(a) && !listed.contains(&a.id)) {
+        m.deaf = true;
+        tracing::info!(machine = m.name, "answers don't reach the machine; no new work for it");
+    }
+    let (deaf, machine) = (m.deaf, m.name.as_str());
     let gone = m.attempts.extract_if(.., |a| {
         if listed.contains(&a.id) {
             return false;
@@ -928,9 +977,11 @@
         match a.st {
             // Kept as knowledge until the leader has recorded it.
             St::Done if a.want => false,
-            // Not sent yet, or sent in an answer that the worker dropped:
-            // as nothing cleared it, sending it again is safe.
-            St::Bound if a.want => false,
+            // Sent in an answer to an earlier report: the worker sends the next
+            // one only after that answer, or having given it up, so what this
+            // one does not list never came. What was not sent waits, unless
+            // nothing reaches the machine.
+            St::Bound if a.want => lost(a) || deaf && a.sent.is_none(),
             // The former holder's answer can't be under way any more once
             // the worker knows our token.
             St::Inherited => fenced || new_session,
@@ -954,6 +1005,7 @@
         if a.st == St::Bound
             && a.want
             && a.written
+            && !m.deaf
             && !m.returning_written
             && job.state == JobState::Live
         {
@@ -983,6 +1035,8 @@
         silent_ms: m.last_report.map_or(u64::MAX, |at| sh.now - at),
         notice: m.notice,
         returning: m.returning_written,
+        fenced: m.fenced,
+        deaf: m.deaf,
         peak: m.peak,
         overloaded: m.overloaded,
         tasks: m
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -355,7 +355,8 @@
             let type_name = rec.types.get(m.1 as usize).map_or("", String::as_str);
             let ix = self.fleet.put_known(sh, &m.0, type_name, &zone, m.is(ShelfMachine::SPOT));
             if let Some(known) = self.fleet.machines.get_mut(&ix) {
-                known.isolated = m.is(ShelfMachine::ISOLATED);
+                known.isolated |= m.is(ShelfMachine::ISOLATED);
+                known.confirmed = true;
             }
             for (job, task, id) in m.tasks(rec.base) {
                 let Some(j) = rec.jobs.get(job) else { continue };
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -95,6 +95,10 @@
     pub silent_ms: u64,
     pub notice: bool,
     pub returning: bool,
+    /// It has shown that it knows the holder's token.
+    pub fenced: bool,
+    /// Its reports arrive, but nothing reaches it.
+    pub deaf: bool,
     /// Projected peak share of room, and whether the machine is overloaded.
     pub peak: f64,
     pub overloaded: bool,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -782,6 +782,17 @@
         name
     }
 
+    /// The worker's process starts anew on the same machine.
+    pub fn restart_worker(&mut self, i: usize) {
+        let now = self.now;
+        let w = &mut self.workers[i];
+        (w.session, w.seq, w.token) = (1, 0, 0);
+        w.tasks.clear();
+        w.lease_from = now;
+        w.flying = None;
+        w.next_at = now;
+    }
+
     fn worker_tick(&mut self, i: usize) {
         let now = self.now;
         let jitter = self.rng.random_range(0..1500);
