--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -54,6 +54,8 @@
     pub isolated: bool,
     pub phase: Phase,
     listed: bool,
+    /// A record names it, so it was up, and listed, in an earlier term.
+    pub recorded: bool,
     /// The cloud, a record or an echo of our token says that it is there; a
     /// report alone may be a late copy of one long gone.
     pub confirmed: bool,
@@ -229,6 +231,7 @@
             isolated: false,
             phase: Phase::Booting,
             listed: false,
+            recorded: false,
             confirmed: false,
             deaf_since: None,
             starting: false,
@@ -380,11 +383,12 @@
                 && now > m.since + (boot * BOOT_FACTOR * 1000.0) as Ms
                 && m.heard.is_none()
                 && (m.starting || mute);
-            let silent = m.heard.map_or(0, |at| now.saturating_sub(at));
+            // What this leader never heard of has been silent since it leads.
+            let silent = now.saturating_sub(m.heard.unwrap_or(self.active_at.max(m.since)));
             // Listed once and no more, and silent: its return, once confirmed,
             // proves that it is gone.
             let vanished = m.missed >= 2 && silent > sh.fresh_ms;
-            let lost = silent > lease + 5_000;
+            let lost = m.heard.is_some() && silent > lease + 5_000;
             let deaf = m.deaf_since.is_some_and(|at| now > at + lease);
             let drained = m.isolated && !busy.contains(ix) && m.phase == Phase::Up;
             let reasons = [
@@ -831,7 +835,7 @@
             if seen.contains(ix) {
                 m.listed = true;
                 m.missed = 0;
-            } else if m.listed {
+            } else if m.listed || m.recorded {
                 m.missed += 1;
             }
         }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -359,6 +359,7 @@
             if let Some(known) = self.fleet.machines.get_mut(&ix) {
                 known.isolated |= m.is(ShelfMachine::ISOLATED);
                 known.confirmed = true;
+                known.recorded |= !m.3.is_empty();
             }
             for (job, task, id) in m.tasks(rec.base) {
                 let Some(j) = rec.jobs.get(job) else { continue };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -698,6 +698,29 @@
     w.fair();
 }
 
+/// Machines go with their leader and holder. The new leader has never heard of
+/// them, but a record names them and no list does: they go back at once, and
+/// their tasks don't wait for the end of every lease that might have been.
+#[test]
+fn machines_that_went_with_their_leader_are_noticed() {
+    let mut w = busy_world(71, 6);
+    for i in 60..64 {
+        w.add_worker(i, support::ZONES[i % 2], false, 100);
+    }
+    w.run(6_000);
+    let (m, holder) = busy_machine(&w);
+    let lost = w.workers[m].tasks.len();
+    w.workers[m].alive = false;
+    let name = w.workers[m].name.clone();
+    w.returned.push(name);
+    let leader = w.leader().unwrap();
+    w.crash(leader, 1_000);
+    w.crash(holder, 1_000);
+    w.run(26_000);
+    assert_eq!(w.starts.values().filter(|n| **n == 2).count(), lost);
+    w.fair();
+}
+
 /// Small tasks of all lengths refill a machine before it is ever free; one that
 /// has waited for all of it gets it kept.
 #[test]
