--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -24,6 +24,8 @@
 /// Reports of machines with room wait for work, so long at most.
 const HOLD_IDLE_MS: Ms = 2_500;
 const HOLD_BUSY_MS: Ms = 500;
+/// What a waiting report is worth in the choice of a machine.
+const LISTENS: f64 = 1.0;
 /// How long a picture from the leader may wait for jobs that the watch has
 /// yet to bring.
 const WANT_WAIT_MS: Ms = 2_000;
@@ -508,7 +510,12 @@
                 continue;
             }
             let has_image = spec.image_gb <= 0.0 || m.images.iter().any(|(n, _)| *n == spec.image);
-            let score = window::fit_score(&need, &room, &t.room, spec.spot && !m.spot, has_image);
+            let mut score = window::fit_score(&need, &room, &t.room, spec.spot && !m.spot, has_image);
+            // One whose report waits for an answer starts the task now, not
+            // with its next report.
+            if m.held.is_none() {
+                score += LISTENS;
+            }
             if best.is_none_or(|(s, _)| score < s) {
                 best = Some((score, ix));
             }
