--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -23,6 +23,10 @@
 const REFUSED_MAX_MS: Ms = 15_000;
 /// A boot that takes this many times the usual is given up.
 const BOOT_FACTOR: f64 = 3.5;
+/// Need beyond the fleet by one part in so many opens a window.
+const SURGE: usize = 4;
+/// So few come soon enough one by one.
+const SURGE_LEAST: usize = 16;
 const SHUN_MS: Ms = 45_000;
 /// Machines that one plan may ask for: a bound on the time it takes, far
 /// beyond what one window can rent.
@@ -356,7 +360,17 @@
             self.window_start(sh);
         } else if sh.now >= self.fleet.plan_at {
             self.fleet.plan_at = sh.now + 1000;
-            self.overload_rents(sh);
+            let plan = self.plan(sh);
+            // Present need far beyond the fleet opens a window at once: one
+            // rent for each overloaded machine would take minutes to meet it.
+            let missing = plan.values().sum::<u32>() as usize;
+            let surge = missing > SURGE_LEAST && missing * SURGE > self.fleet.machines.len();
+            if surge && sh.now >= self.fleet.early_at {
+                self.fleet.early_at = sh.now + 4_000;
+                self.window_start(sh);
+            } else {
+                self.overload_rents(sh, plan);
+            }
         }
     }
 
@@ -668,7 +682,7 @@
 
     /// One rent for each machine projected overloaded, none more while that
     /// rent is pending or booting, all within the waiting tasks' room.
-    fn overload_rents(&mut self, sh: &mut Shared) {
+    fn overload_rents(&mut self, sh: &mut Shared, mut plan: BTreeMap<Offer, u32>) {
         let pending: HashSet<u64> = self.fleet.rents.iter().map(|r| r.number).collect();
         let booting: HashSet<u32> = self
             .fleet
@@ -677,7 +691,6 @@
             .filter(|(_, m)| m.phase == Phase::Booting)
             .map(|(ix, _)| *ix)
             .collect();
-        let mut plan = self.plan(sh);
         let mut asking = Vec::new();
         for (ix, m) in &mut self.fleet.machines {
             let open = match m.ask {
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -25,7 +25,7 @@
 const HOLD_IDLE_MS: Ms = 2_500;
 const HOLD_BUSY_MS: Ms = 500;
 /// What a waiting report is worth in the choice of a machine.
-const LISTENS: f64 = 1.0;
+const LISTENS: f64 = 0.5;
 /// How long a picture from the leader may wait for jobs that the watch has
 /// yet to bring.
 const WANT_WAIT_MS: Ms = 2_000;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -874,6 +874,25 @@
     assert_ne!(w.status(0, "run-000001"), "503");
 }
 
+/// Need that grows far beyond the fleet between two windows does not wait for
+/// the next one.
+#[test]
+fn need_far_beyond_the_fleet_opens_a_window() {
+    let mut w = World::large(3, 72);
+    w.capacity = 400;
+    w.run(5_000);
+    // One machine is up, so that no job is stranded.
+    w.submit(0, &job(1, "t1", 4, 60.0));
+    w.run(21_000);
+    let before = w.rented;
+    for id in 2..6 {
+        w.submit(id as usize % 3, &job(id, "t1", 240, 10.0));
+    }
+    w.run(4_000);
+    assert!(w.rented > before + 200, "{} machines after 4 s", w.rented - before);
+    w.fair();
+}
+
 /// More tasks on one machine than one record holds: the next record takes them.
 /// A holder that refused them would have the leader grant them again for ever.
 #[test]
