--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -570,6 +570,11 @@
         }
     }
     assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+    // Several reports later, machines with room are still used.
+    for i in 80..84 {
+        w.add_worker(i, support::ZONES[i % 2], false, 100);
+    }
+    w.run(14_000);
     let before = w.rented;
     w.accept(0, &job(3, "t1", 2, 5.0));
     w.run(4_000);
