Looks at all machines no longer follow every input; projection and preemption bounded

Cause: each report or answer made a node look at all its machines, jobs and attempts; the projection tried all machines for each waiting task, and preemption all attempts for each room and old job.

--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -16,6 +16,8 @@
 const MAX_GRANTS: usize = 400;
 /// Tasks stopped to make room in one round.
 const MAX_STOPS: usize = 6;
+/// Jobs that one round looks at for it.
+const MAX_LOOKS: usize = 16;
 /// Tasks that a starving job gets before all others in one round.
 const FIRST_TASKS: u32 = 2;
 /// In one of so many rounds the longest waiting job comes first.
@@ -291,11 +293,28 @@
         }
         let served = self.served();
         let mut budget = MAX_STOPS;
-        for (ix, _) in left {
+        let age_s = |j: &LJob| sh.wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
+        let old: Vec<u32> = left
+            .iter()
+            .filter(|(ix, _)| self.jobs.get(ix).is_some_and(|j| age_s(j) >= sh.op.preempt_after_s))
+            .map(|(ix, _)| *ix)
+            .collect();
+        if old.is_empty() {
+            return;
+        }
+        let mut there: HashMap<u32, Vec<u64>> = HashMap::new();
+        for (id, a) in self.attempts.iter().filter(|(_, a)| a.want && !a.bind && a.counts()) {
+            if let Some(m) = a.machine {
+                there.entry(m).or_default().push(id);
+            }
+        }
+        // Under a backlog of hundreds of old jobs each round looks at some,
+        // the next round at others.
+        let skip = if old.len() > MAX_LOOKS { self.rounds as usize * MAX_LOOKS % old.len() } else { 0 };
+        for ix in old.iter().cycle().skip(skip).take(old.len().min(MAX_LOOKS)) {
             let Some(j) = self.jobs.get(ix) else { continue };
-            let age_s = sh.wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
-            if budget == 0 || age_s < sh.op.preempt_after_s {
-                continue;
+            if budget == 0 {
+                break;
             }
             let (spec, team, within) = (j.spec.clone(), j.team, j.within);
             // Priority alone stops others only for a first start: two old jobs
@@ -307,18 +326,19 @@
             let will_do: Vec<bool> =
                 rooms.classes.iter().map(|c| may_use(sh, &spec, c) && zones.allows(&c.zone)).collect();
             for r in rooms.list.iter().filter(|r| will_do[r.class]) {
-                let mut victims: Vec<(u64, u64)> = self
-                    .attempts
-                    .iter()
-                    .filter(|(_, a)| a.machine == Some(r.machine) && a.want && !a.bind && a.counts())
-                    .filter_map(|(id, a)| {
+                let mut victims: Vec<(u64, u64)> = there
+                    .get(&r.machine)
+                    .into_iter()
+                    .flatten()
+                    .filter_map(|id| {
+                        let a = self.attempts.get(*id).filter(|a| a.want)?;
                         let v = self.jobs.get(&a.job)?;
                         let lower = unserved && v.spec.priority < spec.priority;
                         let beyond = within
                             && v.team != team
                             && used[v.team].cpus - a.need.cpus >= sh.cfg.cluster.teams[v.team].cpus;
                         let lost = if v.spec.checkpoint_s > 0.0 { 1_000 } else { a.ran_ms + 2_000 };
-                        (lower || beyond).then_some((lost, id))
+                        (lower || beyond).then_some((lost, *id))
                     })
                     .collect();
                 victims.sort_unstable();
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -8,7 +8,7 @@
 //! report, from a worker that knows our token, does not list it, or its
 //! lease has surely ended, or the cloud has confirmed the machine's return.
 
-use super::model::{Ms, Names, Res, split_task};
+use super::model::{MachineType, Ms, Names, Res, split_task};
 use super::shared::Shared;
 use super::shelves::{self, Shelf, Written};
 use super::window::{self, Booking};
@@ -16,16 +16,21 @@
 use crate::wire::peer::{Body, Have, HaveJob, HaveMachine, HaveState, HaveTask, Want};
 use crate::wire::state::{Item, JobState, ShelfMachine, ShelfRecord};
 use crate::wire::workers::{Command, Op, Redirect, Report, ReportAnswer, ReportTask, TaskState};
-use std::collections::{HashMap, HashSet};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
 
 /// Sooner than this no second picture of a block is sent.
 const HAVE_GAP_MS: Ms = 60;
 const HAVE_EVERY_MS: Ms = 1_000;
+/// Sooner than this no second look at all machines for work to write or send.
+const SCAN_GAP_MS: Ms = 20;
 /// Reports of machines with room wait for work, so long at most.
 const HOLD_IDLE_MS: Ms = 2_500;
 const HOLD_BUSY_MS: Ms = 500;
 /// What a waiting report is worth in the choice of a machine.
 const LISTENS: f64 = 0.5;
+/// A machine's load in millionths of its room that leaves no doubt.
+const WAITING_ENOUGH: u64 = 3_000_000;
 /// How long a picture from the leader may wait for jobs that the watch has
 /// yet to bring.
 const WANT_WAIT_MS: Ms = 2_000;
@@ -206,6 +211,7 @@
     machines: Vec<Option<Machine>>,
     /// Machines whose return is confirmed; a late report must not revive them.
     gone: HashSet<String>,
+    next_scan: Ms,
     next_check: Ms,
     next_project: Ms,
 }
@@ -217,6 +223,7 @@
             names: Names::default(),
             machines: Vec::new(),
             gone: HashSet::new(),
+            next_scan: 0,
             next_check: 0,
             next_project: 0,
         }
@@ -294,9 +301,14 @@
             self.next_project = now + 1000;
             self.project(sh);
         }
-        shelves::write_all(sh, &mut self.blocks, &mut self.machines);
-        self.answer_due(sh);
-        self.tell_leader(sh);
+        // These look at every machine, so they must not follow every input:
+        // hundreds of reports a second reach a node.
+        if now >= self.next_scan {
+            self.next_scan = now + SCAN_GAP_MS;
+            shelves::write_all(sh, &mut self.blocks, &mut self.machines);
+            self.answer_due(sh);
+            self.tell_leader(sh);
+        }
     }
 
     fn machine_put(&mut self, name: &str) -> u32 {
@@ -754,40 +766,56 @@
 
     // ---- projection and pictures for the leader ----
 
+    /// Each waiting task counts once, on its best-fit machine: the one with the
+    /// most room left when earlier ones are counted.
+    fn waiting_on(&self, sh: &Shared, block: usize) -> HashMap<usize, Res> {
+        let mut extra: HashMap<usize, Res> = HashMap::new();
+        let Some(h) = self.blocks[block].as_ref().filter(|h| !h.waiting.is_empty()) else {
+            return extra;
+        };
+        let mut able: Vec<(usize, &Machine, &MachineType, Res)> = Vec::new();
+        for (ix, m) in self.machines.iter().enumerate() {
+            let Some(m) = m.as_ref().filter(|m| m.block as usize == block && m.takes_tasks(sh)) else {
+                continue;
+            };
+            if let Some(t) = sh.type_ix(&m.type_name) {
+                able.push((ix, m, &sh.types[t], m.used()));
+            }
+        }
+        for &(job, count) in &h.waiting {
+            let Some(spec) = sh.job(job).spec.clone() else { continue };
+            let need = spec.need();
+            let parts = |load: &Res, t: &MachineType| (load.share_of(&t.room) * 1e6) as u64;
+            let fit = |m: &Machine, t: &MachineType| {
+                window::allowed(&spec, &m.type_name, &m.zone, m.spot) && need.fits(&t.room)
+            };
+            let mut heap: BinaryHeap<Reverse<(u64, usize)>> = able
+                .iter()
+                .enumerate()
+                .filter(|(_, (_, m, t, _))| fit(m, t))
+                .map(|(i, (_, _, t, load))| Reverse((parts(load, t), i)))
+                .collect();
+            for _ in 0..count {
+                let Some(Reverse((share, i))) = heap.pop() else { break };
+                // All are overloaded by what waits; more of it changes nothing.
+                if share > WAITING_ENOUGH {
+                    break;
+                }
+                let (ix, _, t, load) = &mut able[i];
+                load.add(&need);
+                extra.entry(*ix).or_default().add(&need);
+                heap.push(Reverse((parts(load, t), i)));
+            }
+        }
+        extra
+    }
+
     fn project(&mut self, sh: &mut Shared) {
         for b in 0..self.blocks.len() {
-            let Some(h) = &self.blocks[b] else { continue };
-            let mut extra: HashMap<usize, Res> = HashMap::new();
-            for &(job, count) in &h.waiting {
-                let Some(spec) = sh.job(job).spec.clone() else { continue };
-                let need = spec.need();
-                // Each waiting task counts once, on its best-fit machine: the
-                // one with the most room left when earlier ones are counted.
-                for _ in 0..count.min(500) {
-                    let mut best: Option<(f64, usize)> = None;
-                    for (ix, m) in self.machines.iter().enumerate() {
-                        let Some(m) = m.as_ref().filter(|m| m.block as usize == b && m.takes_tasks(sh))
-                        else {
-                            continue;
-                        };
-                        let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { continue };
-                        if !window::allowed(&spec, &m.type_name, &m.zone, m.spot) || !need.fits(&t.room)
-                        {
-                            continue;
-                        }
-                        let mut load = m.used();
-                        if let Some(e) = extra.get(&ix) {
-                            load.add(e);
-                        }
-                        let share = load.share_of(&t.room);
-                        if best.is_none_or(|(s, _)| share < s) {
-                            best = Some((share, ix));
-                        }
-                    }
-                    let Some((_, ix)) = best else { break };
-                    extra.entry(ix).or_default().add(&need);
-                }
+            if self.blocks[b].is_none() {
+                continue;
             }
+            let extra = self.waiting_on(sh, b);
             let mut changed = false;
             for (ix, m) in self.machines.iter_mut().enumerate() {
                 let Some(m) = m.as_mut().filter(|m| m.block as usize == b) else { continue };
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -25,6 +25,7 @@
 const CHUNK_WORDS: usize = (CHUNK / 64) as usize;
 const WANT_GAP_MS: Ms = 30;
 const WANT_EVERY_MS: Ms = 500;
+const POLL_GAP_MS: Ms = 20;
 const ROUND_GAP_MS: Ms = 50;
 const ROUND_EVERY_MS: Ms = 500;
 const RECORD_GAP_MS: Ms = 150;
@@ -211,6 +212,7 @@
     pub preempt_at: Ms,
     pub rounds: u64,
     pub round_due: bool,
+    poll_at: Ms,
     round_at: Ms,
     record_at: Ms,
     counts_at: Ms,
@@ -251,6 +253,7 @@
             preempt_at: 0,
             rounds: 0,
             round_due: true,
+            poll_at: 0,
             round_at: 0,
             record_at: 0,
             counts_at: 0,
@@ -269,8 +272,14 @@
                 return;
             }
         }
-        self.follow_jobs(sh);
         self.follow_blocks(sh);
+        // All else looks at jobs, machines or attempts one by one, and must not
+        // do so with every input.
+        if sh.now < self.poll_at {
+            return;
+        }
+        self.poll_at = sh.now + POLL_GAP_MS;
+        self.follow_jobs(sh);
         self.fleet_poll(sh);
         // What a round costs grows with what it has to look at.
         let gap = if self.round_due {
