--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -541,6 +541,7 @@
         let silence = (sh.op.node_silence_s * 1000.0) as Ms;
         sh.peers.get(node).is_some_and(|p| {
             p.heard + silence > sh.now
+                && p.hears_us
                 && incarnation.is_none_or(|i| i == p.incarnation)
                 && (p.state_age < HOLDER_STATE_MS || sh.state_age() > 1500)
         })
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -35,6 +35,8 @@
     pub since: Ms,
     pub incarnation: u64,
     pub state_age: u64,
+    /// It gets our frames, as far as it says.
+    pub hears_us: bool,
     reset_at: Ms,
 }
 
@@ -240,7 +242,11 @@
                 self.out.push(Output::Reconnect { to: to.clone() });
             }
         }
-        let beat = Beat { state_age_ms: self.state_age(), counts: std::mem::take(&mut self.counts_out) };
+        let heard = |n: &str| self.peers.get(n).map_or(self.started, |v| v.heard) + silence >= self.now;
+        let names = self.cfg.peers.iter().map(|p| &p.node);
+        let unheard = names.filter(|n| !heard(n)).cloned().collect();
+        let counts = std::mem::take(&mut self.counts_out);
+        let beat = Beat { state_age_ms: self.state_age(), unheard, counts };
         for p in self.cfg.clone().peers.iter() {
             self.send(&p.node, Body::Beat(beat.clone()));
         }
@@ -260,6 +266,7 @@
             since: now,
             incarnation: f.incarnation,
             state_age: 0,
+            hears_us: true,
             reset_at: now,
         });
         // A late frame of an earlier process is no sign of life.
@@ -278,6 +285,14 @@
         v.heard = now;
         if let Body::Beat(b) = &f.body {
             v.state_age = b.state_age_ms;
+            // A connection may lead nowhere although writing into it succeeds,
+            // as one that a node dropped on waking from a standstill. Only the
+            // other side can tell: without this it stays deaf for ever.
+            v.hears_us = !b.unheard.contains(&self.me);
+            if !v.hears_us && v.reset_at + silence < now {
+                v.reset_at = now;
+                self.out.push(Output::Reconnect { to: f.from.clone() });
+            }
             if self.leader.as_ref().is_some_and(|(l, _)| l.node == f.from) {
                 for (job, done, running) in &b.counts {
                     self.counts.insert(job.clone(), (*done, *running));
--- a/src/io/peers.rs
+++ b/src/io/peers.rs
@@ -4,11 +4,13 @@
 
 use crate::core::Input;
 use crate::wire::peer::{Frame, MAX_FRAME};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Receiver, Sender, UnboundedSender, channel};
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 const CONNECT: Duration = Duration::from_millis(700);
@@ -35,7 +37,17 @@
 async fn send_all(addr: SocketAddr, mut rx: Receiver<Post>) {
     let mut stream: Option<TcpStream> = None;
     let mut retry_at = tokio::time::Instant::now();
-    while let Some(post) = rx.recv().await {
+    loop {
+        let post = tokio::select! {
+            biased;
+            // Peers send nothing this way: whatever comes is its end.
+            _ = ended(&mut stream) => {
+                stream = None;
+                continue;
+            }
+            post = rx.recv() => post,
+        };
+        let Some(post) = post else { return };
         let Post::Frame(frame) = post else {
             stream = None;
             continue;
@@ -72,21 +84,39 @@
     }
 }
 
+/// Waits until the other side has closed the connection; for ever if none is
+/// open.
+async fn ended(stream: &mut Option<TcpStream>) {
+    match stream {
+        Some(s) => {
+            let _ = s.read_u8().await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
+/// Takes connections from peers. A node that stood still finds a row of them
+/// that their senders have long given up; the newest is the one in use, so it
+/// is the oldest that goes when there are too many.
 pub async fn listen(listener: TcpListener, tx: UnboundedSender<Input>) {
-    let slots = std::sync::Arc::new(tokio::sync::Semaphore::new(MOST_IN));
+    let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let Ok(slot) = slots.clone().try_acquire_owned() else { continue };
+        open.retain(|t| !t.is_finished());
+        if open.len() >= MOST_IN
+            && let Some(oldest) = open.pop_front()
+        {
+            oldest.abort();
+        }
         let tx = tx.clone();
-        tokio::task::spawn_local(async move {
-            let _slot = slot;
+        open.push_back(tokio::task::spawn_local(async move {
             if let Err(why) = receive(stream, tx).await {
                 tracing::debug!(why, "peer connection closed");
             }
-        });
+        }));
     }
 }
 
@@ -105,7 +135,11 @@
             return Err("oversized frame".into());
         }
         let mut buf = vec![0; len];
-        s.read_exact(&mut buf).await.map_err(|e| e.to_string())?;
+        match timeout(Duration::from_secs(30), s.read_exact(&mut buf)).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(e)) => return Err(e.to_string()),
+            Err(_) => return Err("silent within a frame".into()),
+        }
         match bitcode::decode::<Frame>(&buf) {
             Ok(f) => {
                 if tx.send(Input::Frame(f)).is_err() {
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -27,6 +27,8 @@
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
 pub struct Beat {
     pub state_age_ms: u64,
+    /// Nodes whose frames no longer arrive here.
+    pub unheard: Vec<String>,
     /// Tasks per live job, from the leader only, for the users' eyes.
     pub counts: Vec<(String, u32, u32)>,
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1117,6 +1117,32 @@
     assert!(w.reconnects.iter().any(|(n, to)| *n == 0 && to == "n1"));
 }
 
+/// After a standstill a node may hear nobody while all hear it. It was given its
+/// blocks back and kept them without ever placing a task. The others must open
+/// their links anew, and it holds nothing until it hears the leader.
+#[test]
+fn a_node_that_hears_nobody_is_told_and_holds_nothing() {
+    let mut w = busy_world(81, 6);
+    let (_, victim) = busy_machine(&w);
+    w.run_ms = 5_000;
+    let others: Vec<usize> = (0..3).filter(|n| *n != victim).collect();
+    w.one_way.extend(others.iter().map(|n| (*n, victim)));
+    w.run(8_000);
+    for n in &others {
+        let link = (*n, format!("n{victim}"));
+        assert!(w.reconnects.contains(&link), "{:?}", w.reconnects);
+    }
+    for i in 0..w.workers.len() {
+        assert_ne!(w.holder_of(i), victim);
+    }
+    w.accept(others[0], &job(3, "t1", 6, 5.0));
+    assert!(w.until_done("run-000003", 60_000));
+    w.one_way.clear();
+    w.run(12_000);
+    assert!((0..w.workers.len()).any(|i| w.holder_of(i) == victim), "its blocks come home");
+    w.fair();
+}
+
 #[test]
 fn a_job_of_many_tasks_is_accepted_recorded_and_survives_a_new_leader() {
     let mut w = world(18);
