--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -322,7 +322,12 @@
         }
     }
 
+    /// No more is to be had of an offer: what else was to be asked of it would
+    /// only spend calls, and the next best is planned for at once. A first
+    /// demand of hundreds of machines goes through a dozen offers this way.
     fn refuse(&mut self, now: Ms, offer: &Offer) {
+        self.rents.retain(|r| r.offer != *offer || r.call.is_some() || r.open);
+        (self.tick_at, self.plan_at, self.early_at) = (now, now, now);
         let wait = self.refused.get(offer).map_or(REFUSED_MS, |(_, w)| (w * 2).min(REFUSED_MAX_MS));
         self.refused.insert(offer.clone(), (now + wait, wait));
     }
