--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -31,6 +31,9 @@
 /// Machines that one plan may ask for: a bound on the time it takes, far
 /// beyond what one window can rent.
 const MAX_PLAN: usize = 4_000;
+/// What a machine of a type that other work depends on is taken to cost more
+/// to work that fits elsewhere.
+const SCARCE_COST: f64 = 2.0;
 /// Machines are charged for at least a minute, so younger ones stay.
 const MIN_CHARGE_MS: Ms = 60_000;
 
@@ -521,6 +524,7 @@
                 }
                 n -= put(&mut rooms, i, &need, n, &mut zones);
             }
+            let elsewhere = sh.kinds_for(spec).any(|k| !sh.scarce.contains(&k));
             while n > 0 && new < MAX_PLAN {
                 let mut best: Option<(f64, Offer)> = None;
                 for (k, t) in sh.types.iter().enumerate() {
@@ -540,8 +544,11 @@
                             let price = if spot { t.spot_price } else { t.price };
                             let have = count.get(&(k, zone.as_str(), spot)).copied().unwrap_or(0)
                                 + plan.get(&offer).copied().unwrap_or(0);
-                            // Spread over the zones breaks ties.
-                            let cost = price / f64::from(holds) * (1.0 + 0.01 * f64::from(have));
+                            let mut cost = price / f64::from(holds) * spread(have);
+                            // Rather a type that no other work depends on.
+                            if sh.scarce.contains(&k) && elsewhere {
+                                cost *= SCARCE_COST;
+                            }
                             if best.as_ref().is_none_or(|(c, _)| cost < *c) {
                                 best = Some((cost, offer));
                             }
@@ -986,6 +993,13 @@
     done
 }
 
+/// Spread over the offers breaks ties; it must not make the cheap look dear
+/// where hundreds are rented.
+fn spread(have: u32) -> f64 {
+    let have = f64::from(have);
+    1.0 + 0.2 * have / (have + 20.0)
+}
+
 /// Takes one machine of the kind out of a plan.
 fn take_from(plan: &mut BTreeMap<Offer, u32>, kind: usize, spot: bool) -> Option<Offer> {
     let offer = plan.iter().find(|((k, _, s), n)| *k == kind && *s == spot && **n > 0)?.0.clone();
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -514,7 +514,9 @@
         .into_iter()
         .map(|i| {
             let c = rooms.class(i);
-            let score = fit_score(&need, &rooms.list[i].free, &c.total, spec.spot && !c.spot, true);
+            let wastes = spec.spot && !c.spot;
+            let score = fit_score(&need, &rooms.list[i].free, &c.total, wastes, true);
+            let score = score + sh.scarcity(c.kind);
             (score, i)
         })
         .collect();
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -522,7 +522,8 @@
             if !window::allowed(&spec, &m.type_name, &m.zone, m.spot) {
                 continue;
             }
-            let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { continue };
+            let Some(kind) = sh.type_ix(&m.type_name) else { continue };
+            let t = &sh.types[kind];
             let mut room = t.room;
             room.sub(&m.used());
             if !need.fits(&room) {
@@ -530,6 +531,7 @@
             }
             let has_image = spec.image_gb <= 0.0 || m.images.iter().any(|(n, _)| *n == spec.image);
             let mut score = window::fit_score(&need, &room, &t.room, spec.spot && !m.spot, has_image);
+            score += sh.scarcity(kind);
             // One whose report waits for an answer starts the task now, not
             // with its next report.
             if m.held.is_none() {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -228,6 +228,7 @@
 
     /// Everything that follows from the input, until nothing is left to do.
     fn settle(&mut self) {
+        self.sh.find_scarce();
         for _ in 0..8 {
             self.sync.poll(&mut self.sh);
             self.term.poll(&mut self.sh);
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -9,13 +9,17 @@
 use crate::wire::users::ErrorBody;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 /// Machines and tasks in pictures that a whole core is taken to handle in a
 /// millisecond beside all else; it sets how rare large pictures are.
 const ITEMS_PER_MS: f64 = 50.0;
 
+const SCARCE_EVERY_MS: Ms = 1_000;
+/// Weighs more than an image at hand, less than an ordinary machine.
+const SCARCE: f64 = 5.0;
+
 /// A job as this node knows it from the watch.
 #[derive(Debug)]
 pub struct Job {
@@ -93,6 +97,9 @@
     /// Rises with every change of a job's state, so that roles know to look.
     pub jobs_changed: Vec<u32>,
     pub types: Vec<MachineType>,
+    /// Types that live work depends on, as it fits no other.
+    pub scarce: HashSet<usize>,
+    scarce_at: Ms,
     pub catalog_stamp: u64,
 
     /// All records have been read at least once.
@@ -144,6 +151,8 @@
             jobs: Vec::new(),
             jobs_changed: Vec::new(),
             types: Vec::new(),
+            scarce: HashSet::new(),
+            scarce_at: 0,
             catalog_stamp: 0,
             synced: false,
             proof_at: None,
@@ -323,6 +332,39 @@
         !self.peers.values().any(|p| p.heard + 2000 > self.now && p.state_age < 2000)
     }
 
+    // ---- machine types ----
+
+    /// Machine types that the job may use.
+    pub fn kinds_for(&self, spec: &Spec) -> impl Iterator<Item = usize> {
+        let may = |t: &MachineType| {
+            spec.need().fits(&t.room) && spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+        };
+        self.types.iter().enumerate().filter(move |(_, t)| may(t)).map(|(k, _)| k)
+    }
+
+    pub fn find_scarce(&mut self) {
+        if self.now < self.scarce_at {
+            return;
+        }
+        self.scarce_at = self.now + SCARCE_EVERY_MS;
+        let mut found = HashSet::new();
+        for spec in
+            self.jobs.iter().filter(|j| j.state == JobState::Live).filter_map(|j| j.spec.as_ref())
+        {
+            let mut kinds = self.kinds_for(spec);
+            if let (Some(only), None) = (kinds.next(), kinds.next()) {
+                found.insert(only);
+            }
+        }
+        self.scarce = found;
+    }
+
+    /// What a machine of this type is worse by in a choice: work that has one
+    /// keeps off the type that other work depends on, as long as it can.
+    pub fn scarcity(&self, kind: usize) -> f64 {
+        if self.scarce.contains(&kind) { SCARCE } else { 0.0 }
+    }
+
     // ---- the watched records ----
 
     /// The term that we lead in, if the watched record names this process.
