--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -510,7 +510,17 @@
             *count.entry((m.kind, m.zone.as_str(), m.spot)).or_default() += 1;
         }
         let mut plan: BTreeMap<Offer, u32> = BTreeMap::new();
+        // Work with the least choice first: counted onto ordinary machines that
+        // are up or coming, work that may use spot ones would leave the rest
+        // without room, and no spot machine would be asked for.
+        let mut order: Vec<(bool, usize, u32, u32)> = Vec::new();
         for &(ix, n) in &self.fleet.waiting {
+            if let Some(j) = self.jobs.get(&ix) {
+                order.push((j.spec.spot, sh.kinds_for(&j.spec).count(), ix, n));
+            }
+        }
+        order.sort_by_key(|(spot, kinds, _, _)| (*spot, *kinds));
+        for (_, _, ix, n) in order {
             let Some(j) = self.jobs.get(&ix) else { continue };
             let spec = &j.spec;
             let need = spec.need();
