The record of the fleet keeps within its limit, with two decimals

Cause, from a story with 15 machine types: the history was kept in single precision and written with all the digits of its error, up to 18 a number, so four kinds and 240 windows pass 8 KiB. The state service then rejects each window's record, and a new leader starts from an old one. Two decimals are written as such, and the oldest quarter goes while the record would not fit.

--- a/src/core/forecast.rs
+++ b/src/core/forecast.rs
@@ -17,7 +17,7 @@
 pub struct History {
     /// Kind of machine -> machines' worth of bookings, oldest window first.
     #[serde(rename = "h", default)]
-    kinds: BTreeMap<String, Vec<f32>>,
+    kinds: BTreeMap<String, Vec<f64>>,
     /// Windows seen in all.
     #[serde(rename = "n", default)]
     windows: u64,
@@ -33,13 +33,24 @@
         let keep = (season * KEEP_SEASONS).clamp(ENOUGH, KEEP_WINDOWS);
         for (kind, list) in &mut self.kinds {
             let v = booked.get(kind).copied().unwrap_or(0.0);
-            list.push((v * 100.0).round() as f32 / 100.0);
+            // Two decimals, as text too: in single precision they would be written
+            // with all the digits of their error.
+            list.push((v * 100.0).round() / 100.0);
             let extra = list.len().saturating_sub(keep);
             list.drain(..extra);
         }
         self.windows += 1;
     }
 
+    /// Drops the oldest quarter; false when there is nothing left to drop.
+    pub fn shorten(&mut self) -> bool {
+        let drop = self.longest().div_ceil(4);
+        for list in self.kinds.values_mut() {
+            list.drain(..drop.min(list.len()));
+        }
+        drop > 0
+    }
+
     fn longest(&self) -> usize {
         self.kinds.values().map(Vec::len).max().unwrap_or(0)
     }
@@ -47,9 +58,9 @@
     /// How far windows stray from the level, smoothed.
     pub fn deviation(&self, kind: &str, smoothing: f64) -> f64 {
         let Some(list) = self.kinds.get(kind) else { return 0.0 };
-        let (mut level, mut stray) = (list.first().copied().map_or(0.0, f64::from), 0.0);
+        let (mut level, mut stray) = (list.first().copied().unwrap_or(0.0), 0.0);
         for v in list {
-            let off = f64::from(*v) - level;
+            let off = *v - level;
             stray += smoothing * (off.abs() - stray);
             level += smoothing * off;
         }
@@ -64,9 +75,9 @@
         if list.len() < ENOUGH {
             return None;
         }
-        let mut level = f64::from(list[0]);
+        let mut level = list[0];
         for v in &list[1..] {
-            level += smoothing * (f64::from(*v) - level);
+            level += smoothing * (*v - level);
         }
         if list.len() < 2 * season {
             return Some(level);
@@ -75,7 +86,7 @@
         let mut seasonal = None;
         let mut at = list.len() as i64 - season as i64;
         while at >= 0 {
-            let v = f64::from(list[at as usize]);
+            let v = list[at as usize];
             seasonal = Some(match seasonal {
                 None => v,
                 Some(s) => s + (1.0 - smoothing) * 0.5 * (v - s),
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -982,7 +982,11 @@
         sh.state_call(Purpose::Leader(LeaderCall::SaveCatalog), StateOp::Txn(txn));
     }
 
-    pub fn save_fleet(&mut self, sh: &mut Shared, rec: FleetRecord) {
+    pub fn save_fleet(&mut self, sh: &mut Shared, mut rec: FleetRecord) {
+        // Many kinds of machines, or hundreds of each, make the history long; a
+        // record past the limit would be rejected window after window.
+        let limit = (sh.cfg.cluster.state.value_kb * 1024.0) as usize;
+        while serde_json::to_string(&rec).map_or(0, |s| s.len()) > limit && rec.history.shorten() {}
         let txn = Txn {
             conds: vec![self.leader_cond()],
             changes: vec![Change::Put {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1341,6 +1341,20 @@
     }
 }
 
+/// The longer the history and the more kinds of machines, the longer the record
+/// of the fleet; past the limit no window would be kept any more.
+#[test]
+fn the_record_of_the_fleet_stays_within_the_limit() {
+    let mut w = World::new(1, 83);
+    w.more_types = 14;
+    w.run(5_000);
+    w.accept(0, &job(1, "t0", 2, 5.0));
+    w.run(900_000);
+    let at = w.state.keys["fleet"].0["at"].as_u64().unwrap();
+    assert!(at + 11_000 > 1_000_000_000 + w.now, "the newest window is on record");
+    w.fair();
+}
+
 /// A fleet far larger than ever, through a crash of all nodes at its busiest:
 /// all that it asks of the outer systems stays within the settings, machines
 /// keep their tasks, and every job completes.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -337,6 +337,8 @@
     /// (from, to): frames on this way are lost, whatever the sender thinks.
     pub one_way: HashSet<(usize, usize)>,
     pub capacity: usize,
+    /// Machine types in the catalog that nobody has a use for.
+    pub more_types: usize,
     pub cloud_down: bool,
     charters: HashMap<String, Vec<String>>,
     pub rented: usize,
@@ -418,6 +420,7 @@
             cuts: HashSet::new(),
             one_way: HashSet::new(),
             capacity: 12,
+            more_types: 0,
             cloud_down: false,
             charters: HashMap::new(),
             rented: 0,
@@ -743,12 +746,18 @@
         }
         self.cloud_rate = (left - 1.0, self.now);
         match op {
-            CloudOp::Catalog => CloudResult::Catalog(
-                serde_json::from_value(json!({"hulltypes":[{"label":"m16","cores":16,"cards":0,
+            CloudOp::Catalog => {
+                let mut types = vec![json!({"label":"m16","cores":16,"cards":0,
                     "memory_gb":64,"cache_gb":50,"pull_gb_per_s":1.0,"price":1.0,"spot_price":0.4,
-                    "ready_s":10,"yards":ZONES}]}))
-                .unwrap(),
-            ),
+                    "ready_s":10,"yards":ZONES})];
+                for i in 0..self.more_types {
+                    types.push(json!({"label":format!("tiny{i}"),"cores":1,"cards":0,"memory_gb":1,
+                        "cache_gb":1,"pull_gb_per_s":1.0,"price":9.0,"spot_price":9.0,"ready_s":10,
+                        "yards":ZONES}));
+                }
+                let catalog = json!({ "hulltypes": types });
+                CloudResult::Catalog(serde_json::from_value(catalog).unwrap())
+            }
             CloudOp::List { since } => {
                 let after = since.unwrap_or_default();
                 let now = self.now;
