--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1341,6 +1341,56 @@
     }
 }
 
+/// A leader that also holds machines stands still for longer than any authority:
+/// its work is done elsewhere meanwhile. On waking it finds a pile of old reports,
+/// answers and records, and may do nothing on them.
+#[test]
+fn a_node_that_stood_still_is_replaced_and_harms_nothing() {
+    for seed in [84, 85, 86] {
+        let mut w = busy_world(seed, 8);
+        w.run_ms = 8_000;
+        let leader = w.leader().unwrap();
+        w.freeze(leader);
+        let other = (leader + 1) % 3;
+        w.run(8_000);
+        assert_ne!(w.leader(), Some(leader));
+        assert!((0..w.workers.len()).all(|i| w.holder_of(i) != leader));
+        w.accept(other, &job(3, "t0", 16, 8.0));
+        assert!(w.until_done("run-000003", 45_000));
+        assert_eq!(w.cancel(other, "run-000002"), 200);
+        w.thaw(leader);
+        w.run(30_000);
+        assert_eq!(w.status(leader, "run-000002"), "withdrawn");
+        w.accept(leader, &job(4, "t0", 8, 8.0));
+        assert!(w.until_done("run-000004", 60_000));
+        w.fair();
+    }
+}
+
+/// Half of all machines hang at once and go on within their lease, while the
+/// leader crashes: nothing is lost and nothing runs twice. Those that hang for
+/// longer give their tasks up.
+#[test]
+fn machines_that_hang_in_numbers_keep_their_tasks_within_the_lease() {
+    for (seed, hang, keeps) in [(87, 12_000, true), (88, 40_000, false)] {
+        let mut w = busy_world(seed, 8);
+        let before = w.starts.len();
+        for i in (0..w.workers.len()).step_by(2) {
+            w.workers[i].cut = true;
+        }
+        w.run(2_000);
+        w.crash(w.leader().unwrap(), 3_000);
+        w.run(hang);
+        for x in &mut w.workers {
+            x.cut = false;
+        }
+        w.run(40_000);
+        assert_eq!(w.starts.len(), before);
+        assert_eq!(w.starts.values().all(|n| *n == 1), keeps, "{:?}", w.starts);
+        w.fair();
+    }
+}
+
 /// The longer the history and the more kinds of machines, the longer the record
 /// of the fleet; past the limit no window would be kept any more.
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -336,6 +336,8 @@
     pub cuts: HashSet<(usize, usize)>,
     /// (from, to): frames on this way are lost, whatever the sender thinks.
     pub one_way: HashSet<(usize, usize)>,
+    /// Nodes that stand still, with what reached them.
+    frozen: HashMap<usize, Vec<Input>>,
     pub capacity: usize,
     /// Machine types in the catalog that nobody has a use for.
     pub more_types: usize,
@@ -419,6 +421,7 @@
             rng: StdRng::seed_from_u64(seed),
             cuts: HashSet::new(),
             one_way: HashSet::new(),
+            frozen: HashMap::new(),
             capacity: 12,
             more_types: 0,
             cloud_down: false,
@@ -473,6 +476,20 @@
         self.worker_reqs.retain(|(n, _), _| *n != node);
     }
 
+    /// The process stands still while its clocks run on.
+    pub fn freeze(&mut self, node: usize) {
+        self.frozen.insert(node, Vec::new());
+    }
+
+    /// It goes on, with everything that came in meanwhile, all at one moment.
+    pub fn thaw(&mut self, node: usize) {
+        for input in self.frozen.remove(&node).unwrap_or_default() {
+            if !matches!(input, Input::Tick) {
+                self.step(node, input);
+            }
+        }
+    }
+
     pub fn leader(&self) -> Option<usize> {
         let v = self.state.keys.get("w/leader")?;
         v.0["node"].as_str()?.strip_prefix('n')?.parse().ok()
@@ -485,6 +502,10 @@
 
     fn step(&mut self, node: usize, input: Input) {
         let (now, wall) = (self.now, 1_000_000_000 + self.now);
+        if let Some(missed) = self.frozen.get_mut(&node) {
+            missed.push(input);
+            return;
+        }
         let Some((core, inc)) = &mut self.nodes[node] else { return };
         let inc = *inc;
         for out in core.step(now, wall, input) {
