Modules by what each part owns: dialogue, picture, plan, progress

The talk with workers, the pictures with their projection, the plan of what to rent and the recording of what is done stand alone now; nothing they do has changed.

--- /dev/null
+++ b/src/core/dialogue.rs
@@ -0,0 +1,301 @@
+//! The holder's talk with the workers: what their reports say and prove, and
+//! what they are told in answer.
+
+use super::holder::{Attempt, Held, Holder, Load, Machine, St};
+use super::model::{Ms, split_task};
+use super::shared::Shared;
+use super::shelves;
+use crate::wire::state::JobState;
+use crate::wire::workers::{Command, Op, Redirect, Report, ReportAnswer, ReportTask, TaskState};
+use std::collections::HashSet;
+
+/// Reports of machines with room wait for work, so long at most.
+const HOLD_IDLE_MS: Ms = 2_500;
+const HOLD_BUSY_MS: Ms = 500;
+
+impl Holder {
+    pub fn checkin(&mut self, sh: &mut Shared, req: u64, r: Report) {
+        let Some(b) = sh.block_of(&r.zone, &r.machine) else {
+            return sh.refuse(req, 400, "unknown zone", Some("yard"));
+        };
+        if !sh.synced {
+            return sh.busy(req, "not yet in touch with the state service");
+        }
+        let holds = self.blocks[b as usize].as_ref().map(|h| (h.grant, h.load));
+        let Some((grant, load)) = holds else { return redirect(sh, req, b) };
+        if !sh.has_authority() {
+            return sh.busy(req, "no proof of authority");
+        }
+        // The worker has seen a token above ours: someone holds the block
+        // after us, and the watch will tell who. Never guess.
+        if r.token > grant {
+            return sh.busy(req, "a newer holder exists");
+        }
+        if self.gone.contains(&r.machine) {
+            return sh.busy(req, "this machine has been returned");
+        }
+        let ix = self.machine_put(&r.machine) as usize;
+        let m = self.machines[ix].get_or_insert_with(|| Self::blank(&r.machine, b, grant));
+        if m.grant != grant || m.block != b {
+            let held = m.held.take();
+            *m = Self::blank(&r.machine, b, grant);
+            m.held = held;
+        }
+        let mut reborn = false;
+        if (r.session, r.seq) <= (m.session, m.seq) {
+            if !m.dead {
+                return sh.busy(req, "a newer report is known");
+            }
+            // Its lease is over and with it all that it had, so a count that
+            // starts anew is a worker that did. But it may be a late copy too.
+            reborn = true;
+            (m.session, m.seq, m.answered) = (0, 0, None);
+        }
+        // The first report that this holder sees is no new session: it may be
+        // one that was under way before the tasks on record were started.
+        let new_session = m.session != 0 && r.session > m.session;
+        if !m.heeds(&r, sh.cfg.peers.len()) {
+            m.unheeded += 1;
+            m.deaf |= m.unheeded >= 2;
+        } else if m.answered.is_some() {
+            (m.unheeded, m.deaf) = (0, false);
+        }
+        m.dead = false;
+        m.addr = r.addr;
+        m.type_name = r.machine_type;
+        m.zone = r.zone;
+        m.spot = r.spot;
+        m.session = r.session;
+        m.seq = r.seq;
+        m.notice = r.notice_s.is_some();
+        m.last_report = Some(sh.now);
+        m.fenced = !reborn && (m.fenced || r.token >= grant);
+        m.reborn = reborn || m.reborn && !m.fenced;
+        // The worker has given the earlier report up.
+        let stale = m.held.take();
+        let mut commands = Vec::new();
+        if load == Load::Done {
+            let gone = read_tasks(sh, m, &r.tasks, new_session, &mut commands);
+            if let Some(h) = &mut self.blocks[b as usize] {
+                shelves::mark_stale(h, gone, sh.now);
+            }
+        }
+        let hold = if load == Load::Done && commands.is_empty() { hold_ms(sh, m) } else { 0 };
+        m.held = Some(Held { req, until: sh.now + hold, commands });
+        if let Some(h) = &mut self.blocks[b as usize] {
+            h.dirty = true;
+        }
+        if let Some(old) = stale {
+            sh.busy(old.req, "a newer report is known");
+        }
+        if hold == 0 {
+            self.answer_held(sh, ix);
+        }
+    }
+
+    /// Answers the report that a machine waits with. What is ordered is
+    /// decided now, on what is known now.
+    fn answer_held(&mut self, sh: &mut Shared, ix: usize) {
+        let Some(m) = self.machines[ix].as_mut() else { return };
+        let Some(held) = m.held.take() else { return };
+        let holds = self.blocks[m.block as usize].as_ref().is_some_and(|h| h.grant == m.grant);
+        if !holds || !sh.has_authority() {
+            return sh.busy(held.req, "no proof of authority");
+        }
+        let mut commands = held.commands;
+        orders(sh, m, &mut commands);
+        m.last_answer = Some(sh.now);
+        m.answered = Some((m.session, m.seq));
+        sh.answer_json(held.req, 200, &ReportAnswer { token: m.grant, commands });
+    }
+
+    /// Held reports are answered at the moment that work appears for their
+    /// machine, or when their time is over.
+    pub(super) fn answer_due(&mut self, sh: &mut Shared) {
+        for ix in 0..self.machines.len() {
+            let Some(m) = &self.machines[ix] else { continue };
+            let Some(h) = &m.held else { continue };
+            let work = m.attempts.iter().any(|a| match a.st {
+                St::Bound => a.written && a.want && a.sent.is_none(),
+                St::Fetching | St::Running => !a.want || sh.job(a.job).state == JobState::Cancelled,
+                _ => false,
+            });
+            if work || sh.now >= h.until {
+                self.answer_held(sh, ix);
+            }
+        }
+    }
+
+    /// Machines whose lease has surely ended hold nothing any more.
+    pub(super) fn check_leases(&mut self, sh: &mut Shared) {
+        let lease = (sh.cfg.cluster.workers.lease_s * 1001.0) as Ms + 1500;
+        for ix in 0..self.machines.len() {
+            let Some(m) = &mut self.machines[ix] else { continue };
+            let Some(h) = &mut self.blocks[m.block as usize] else { continue };
+            // A report that waits for its answer is no silence: the first one
+            // of a new machine would pass for the end of a lease that never
+            // began, and its tasks would be granted again while it got them.
+            if m.dead || m.held.is_some() || h.load != Load::Done {
+                continue;
+            }
+            // Until the worker has shown our token, a former holder may have
+            // answered it up to the end of its own authority.
+            let before = if m.fenced { 0 } else { h.since + sh.authority_ms };
+            let last = m.last_answer.unwrap_or(0).max(before);
+            if sh.now <= last + lease {
+                continue;
+            }
+            m.dead = true;
+            m.images.clear();
+            if m.attempts.iter().any(|a| !a.st.ended()) {
+                tracing::info!(machine = m.name, "lease ended; its tasks are gone");
+            }
+            let gone = m.attempts.extract_if(.., |a| a.st != St::Done || !a.want);
+            shelves::mark_stale(h, gone.map(|a| a.shelf), sh.now);
+            h.dirty = true;
+        }
+    }
+}
+
+/// How long a report may wait for work. A machine with room gets new work the
+/// sooner; one with tasks also has their ends to tell, so it waits less. The
+/// worker gives up after 4 s.
+fn hold_ms(sh: &Shared, m: &Machine) -> Ms {
+    if !m.takes_tasks(sh) {
+        return 0;
+    }
+    let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { return 0 };
+    let ready = m.attempts.iter().any(|a| a.st == St::Bound && a.written && a.want);
+    let ended = m.attempts.iter().any(|a| a.st.ended() && !a.want);
+    if ready || ended {
+        return 0;
+    }
+    if m.attempts.is_empty() {
+        HOLD_IDLE_MS
+    } else if m.used().share_of(&t.room) < 0.95 {
+        HOLD_BUSY_MS
+    } else {
+        0
+    }
+}
+
+fn redirect(sh: &mut Shared, req: u64, block: u32) {
+    let holder = sh.block_recs[block as usize].as_ref().map(|(r, _)| r.node.clone());
+    match holder {
+        Some(node) if node != sh.me => {
+            sh.answer_json(req, 421, &Redirect { report_to: Some(node) });
+        }
+        _ => sh.busy(req, "nobody holds this machine's block yet"),
+    }
+}
+
+/// Takes in what a report says of the machine's tasks, and what it proves by
+/// not saying it. The shelves of what is gone.
+fn read_tasks(
+    sh: &mut Shared,
+    m: &mut Machine,
+    tasks: &[ReportTask],
+    new_session: bool,
+    commands: &mut Vec<Command>,
+) -> Vec<u32> {
+    let now = sh.now;
+    let mut listed: HashSet<u64> = HashSet::new();
+    for t in tasks {
+        let found = split_task(&t.task).and_then(|(job, task)| {
+            let job = sh.job_ix(job)?;
+            m.attempts.iter_mut().find(|a| a.id == t.attempt && a.job == job && a.task == task)
+        });
+        let Some(a) = found else {
+            // Nobody's: no record stands behind it, so it must not go on.
+            let op = if t.state == TaskState::Exited { Op::Forget } else { Op::Stop };
+            let grace_s = (op == Op::Stop).then_some(0.0);
+            commands.push(Command { op, task: t.task.clone(), attempt: t.attempt, grace_s });
+            continue;
+        };
+        listed.insert(a.id);
+        a.seen = true;
+        let st = match t.state {
+            TaskState::Fetching => St::Fetching,
+            TaskState::Running | TaskState::Other => St::Running,
+            TaskState::Saving => St::Saving,
+            TaskState::Exited => match t.why.as_deref() {
+                Some("done") => St::Done,
+                Some("error") => St::Failed,
+                Some("halted") => St::Stopped,
+                _ => St::Refused,
+            },
+        };
+        if st == St::Running && a.started.is_none() {
+            a.started = Some(now);
+        }
+        if st.ended()
+            && !a.st.ended()
+            && let Some(s) = a.started
+        {
+            a.ran = now.saturating_sub(s);
+        }
+        a.st = st;
+    }
+    let fenced = m.fenced;
+    let newest = (m.session, m.seq);
+    let lost = |a: &Attempt| a.st == St::Bound && a.sent.is_some_and(|s| s < newest);
+    if m.attempts.iter().any(|a| lost(a) && !listed.contains(&a.id)) {
+        m.deaf = true;
+        tracing::info!(machine = m.name, "answers don't reach the machine; no new work for it");
+    }
+    let (deaf, machine) = (m.deaf, m.name.as_str());
+    let gone = m.attempts.extract_if(.., |a| {
+        if listed.contains(&a.id) {
+            return false;
+        }
+        match a.st {
+            // Kept as knowledge until the leader has recorded it.
+            St::Done if a.want => false,
+            // Sent in an answer to an earlier report: the worker sends the next
+            // one only after that answer, or having given it up, so what this
+            // one does not list never came. What was not sent waits, unless
+            // nothing reaches the machine.
+            St::Bound if a.want => lost(a) || deaf && a.sent.is_none(),
+            // The former holder's answer can't be under way any more once
+            // the worker knows our token.
+            St::Inherited => fenced || new_session,
+            _ => true,
+        }
+    });
+    gone.map(|a| {
+        tracing::debug!(machine, job = sh.job_names.name(a.job), task = a.task, attempt = a.id, st = ?a.st, new_session, "gone");
+        a.shelf
+    })
+    .collect()
+}
+
+/// What the worker shall do now.
+fn orders(sh: &Shared, m: &mut Machine, commands: &mut Vec<Command>) {
+    let stoppable = |a: &Attempt| matches!(a.st, St::Fetching | St::Running | St::Saving);
+    for a in &mut m.attempts {
+        let task = || format!("{}/{}", sh.job_names.name(a.job), a.task);
+        let job = sh.job(a.job);
+        let withdrawn = job.state == JobState::Cancelled;
+        if a.st == St::Bound
+            && a.want
+            && a.written
+            && !m.deaf
+            && !m.returning_written
+            && job.state == JobState::Live
+        {
+            a.sent.get_or_insert((m.session, m.seq));
+            tracing::debug!(machine = m.name, task = task(), attempt = a.id, "run sent");
+            commands.push(Command { op: Op::Start, task: task(), attempt: a.id, grace_s: None });
+        } else if stoppable(a) && (withdrawn || !a.want) {
+            let spec = job.spec.as_deref();
+            let saves = spec.is_some_and(|s| s.checkpoint_s > 0.0) && !withdrawn;
+            let grace = if saves { spec.map_or(0.0, |s| s.save_s) } else { 0.0 };
+            if a.st == St::Saving && !withdrawn {
+                continue;
+            }
+            commands.push(Command { op: Op::Stop, task: task(), attempt: a.id, grace_s: Some(grace) });
+        } else if a.st.ended() && !a.want && a.seen {
+            commands.push(Command { op: Op::Forget, task: task(), attempt: a.id, grace_s: None });
+        }
+    }
+}
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -1,5 +1,6 @@
 //! The holder of machine blocks: chooses the machine for each task granted to
-//! it, records the choice, and talks to the workers.
+//! it and records the choice. Its talk with the workers is in `dialogue`, what
+//! it tells the leader in `picture`, its records in `shelves`.
 //!
 //! Three things keep a task from running twice. An attempt is written into
 //! the machine's record before its `run` goes out, under conditions that any
@@ -8,32 +9,24 @@
 //! report, from a worker that knows our token, does not list it, or its
 //! lease has surely ended, or the cloud has confirmed the machine's return.
 
-use super::model::{MachineType, Ms, Names, Res, split_task};
+use super::model::{Ms, Names, Res};
 use super::shared::Shared;
 use super::shelves::{self, Shelf, Written};
-use super::window::{self, Booking};
+use super::window;
 use super::{Purpose, StateOp, StateResult};
-use crate::wire::peer::{Body, Have, HaveJob, HaveMachine, HaveState, HaveTask, Want};
+use crate::wire::peer::Want;
 use crate::wire::state::{Item, JobState, ShelfMachine, ShelfRecord};
-use crate::wire::workers::{Command, Op, Redirect, Report, ReportAnswer, ReportTask, TaskState};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use crate::wire::workers::{Command, Report};
+use std::collections::{HashMap, HashSet};
 
-/// Sooner than this no second picture of a block is sent.
-const HAVE_GAP_MS: Ms = 60;
-const HAVE_EVERY_MS: Ms = 1_000;
 /// Sooner than this no second look at all machines for work to write or send.
 const SCAN_GAP_MS: Ms = 20;
-/// Reports of machines with room wait for work, so long at most.
-const HOLD_IDLE_MS: Ms = 2_500;
-const HOLD_BUSY_MS: Ms = 500;
 /// What a waiting report is worth in the choice of a machine.
 const LISTENS: f64 = 0.5;
-/// A machine's load in millionths of its room that leaves no doubt.
-const WAITING_ENOUGH: u64 = 3_000_000;
 /// How long a picture from the leader may wait for jobs that the watch has
 /// yet to bring.
 const WANT_WAIT_MS: Ms = 2_000;
+
 pub fn place_prefix(block: &str) -> String {
     format!("place/{block}/")
 }
@@ -55,19 +48,19 @@
 #[derive(Debug)]
 pub struct HeldBlock {
     pub grant: u64,
-    since: Ms,
+    pub(super) since: Ms,
     pub load: Load,
     pub term: u64,
-    echo: u64,
+    pub(super) echo: u64,
     /// Bindings refused here, until the leader has taken note.
-    rejected: HashSet<u64>,
+    pub(super) rejected: HashSet<u64>,
     /// A picture that speaks of jobs yet unknown here.
-    parked: Option<(Want, Ms)>,
-    waiting: Vec<(u32, u32)>,
+    pub(super) parked: Option<(Want, Ms)>,
+    pub(super) waiting: Vec<(u32, u32)>,
     pub dirty: bool,
-    sent_at: Ms,
+    pub(super) sent_at: Ms,
     /// Machines and tasks in the last picture.
-    size: usize,
+    pub(super) size: usize,
     pub shelves: Vec<Shelf>,
 }
 
@@ -87,7 +80,7 @@
 }
 
 impl St {
-    fn ended(self) -> bool {
+    pub(super) fn ended(self) -> bool {
         matches!(self, St::Done | St::Stopped | St::Failed | St::Refused)
     }
 }
@@ -101,38 +94,38 @@
     pub team: String,
     /// The record that it is in, or shall be.
     pub shelf: u32,
-    st: St,
+    pub(super) st: St,
     /// Part of a transaction that was sent: may be in the record.
     pub tried: bool,
     pub written: bool,
     pub want: bool,
     /// (session, seq) of the report whose answer first carried the `run`.
-    sent: Option<(u64, u64)>,
-    seen: bool,
-    started: Option<Ms>,
-    ran: Ms,
-    expected_ms: Ms,
+    pub(super) sent: Option<(u64, u64)>,
+    pub(super) seen: bool,
+    pub(super) started: Option<Ms>,
+    pub(super) ran: Ms,
+    pub(super) expected_ms: Ms,
 }
 
 #[derive(Debug)]
 pub struct Machine {
     pub name: String,
-    addr: String,
+    pub(super) addr: String,
     pub type_name: String,
-    zone: String,
+    pub(super) zone: String,
     pub spot: bool,
     pub block: u32,
     pub grant: u64,
-    session: u64,
-    seq: u64,
+    pub(super) session: u64,
+    pub(super) seq: u64,
     /// The worker has shown that it knows our token.
-    fenced: bool,
-    last_report: Option<Ms>,
-    last_answer: Option<Ms>,
-    notice: bool,
+    pub(super) fenced: bool,
+    pub(super) last_report: Option<Ms>,
+    pub(super) last_answer: Option<Ms>,
+    pub(super) notice: bool,
     pub isolated: bool,
-    shunned: bool,
-    retire: bool,
+    pub(super) shunned: bool,
+    pub(super) retire: bool,
     pub returning_written: bool,
     pub isolated_written: bool,
     /// Room for its row is kept in that record.
@@ -140,33 +133,33 @@
     /// The record that speaks of it, once there's something to say.
     pub shelf: Option<u32>,
     pub attempts: Vec<Attempt>,
-    images: Vec<(String, f64)>,
-    overloaded: bool,
-    peak: f64,
+    pub(super) images: Vec<(String, f64)>,
+    pub(super) overloaded: bool,
+    pub(super) peak: f64,
     /// Told by its lease or by the cloud.
-    dead: bool,
+    pub(super) dead: bool,
     /// (session, seq) of the last report that we answered with 200.
-    answered: Option<(u64, u64)>,
+    pub(super) answered: Option<(u64, u64)>,
     /// Reports in a row which show that our answer before did not arrive.
-    unheeded: u32,
+    pub(super) unheeded: u32,
     /// Its reports arrive, but our answers don't reach it.
-    deaf: bool,
+    pub(super) deaf: bool,
     /// Back from the dead with a count that starts anew, or a late copy of a
     /// report of old: it gets no work before it has shown our token.
-    reborn: bool,
-    held: Option<Held>,
+    pub(super) reborn: bool,
+    pub(super) held: Option<Held>,
 }
 
 /// A report that waits for its answer.
 #[derive(Debug)]
-struct Held {
-    req: u64,
-    until: Ms,
-    commands: Vec<Command>,
+pub(super) struct Held {
+    pub(super) req: u64,
+    pub(super) until: Ms,
+    pub(super) commands: Vec<Command>,
 }
 
 impl Machine {
-    fn used(&self) -> Res {
+    pub(super) fn used(&self) -> Res {
         let mut u = Res::default();
         for a in self.attempts.iter().filter(|a| !a.st.ended()) {
             u.add(&a.need);
@@ -174,7 +167,7 @@
         u
     }
 
-    fn takes_tasks(&self, sh: &Shared) -> bool {
+    pub(super) fn takes_tasks(&self, sh: &Shared) -> bool {
         !self.notice
             && !self.isolated
             && !self.shunned
@@ -190,7 +183,7 @@
     /// counts every report, sends the next one only when the last is answered
     /// or given up, and then to another node: so one that skips a count, or
     /// whose lease ended although we answered, never saw the answer.
-    fn heeds(&self, r: &Report, peers: usize) -> bool {
+    pub(super) fn heeds(&self, r: &Report, peers: usize) -> bool {
         match self.answered {
             Some((s, q)) if (s, q) == (self.session, self.seq) => {
                 r.session == s && (r.seq == q + 1 || peers == 0)
@@ -208,14 +201,14 @@
 }
 
 pub struct Holder {
-    blocks: Vec<Option<HeldBlock>>,
-    names: Names<String>,
-    machines: Vec<Option<Machine>>,
+    pub(super) blocks: Vec<Option<HeldBlock>>,
+    pub(super) names: Names<String>,
+    pub(super) machines: Vec<Option<Machine>>,
     /// Machines whose return is confirmed; a late report must not revive them.
-    gone: HashSet<String>,
-    next_scan: Ms,
-    next_check: Ms,
-    next_project: Ms,
+    pub(super) gone: HashSet<String>,
+    pub(super) next_scan: Ms,
+    pub(super) next_check: Ms,
+    pub(super) next_project: Ms,
 }
 
 impl Holder {
@@ -313,7 +306,7 @@
         }
     }
 
-    fn machine_put(&mut self, name: &str) -> u32 {
+    pub(super) fn machine_put(&mut self, name: &str) -> u32 {
         let ix = self.names.put(&name.to_string());
         while self.machines.len() <= ix as usize {
             self.machines.push(None);
@@ -321,7 +314,7 @@
         ix
     }
 
-    fn blank(name: &str, block: u32, grant: u64) -> Machine {
+    pub(super) fn blank(name: &str, block: u32, grant: u64) -> Machine {
         Machine {
             name: name.into(),
             addr: String::new(),
@@ -624,295 +617,6 @@
             h.dirty = true;
         }
     }
-
-    // ---- workers ----
-
-    pub fn checkin(&mut self, sh: &mut Shared, req: u64, r: Report) {
-        let Some(b) = sh.block_of(&r.zone, &r.machine) else {
-            return sh.refuse(req, 400, "unknown zone", Some("yard"));
-        };
-        if !sh.synced {
-            return sh.busy(req, "not yet in touch with the state service");
-        }
-        let holds = self.blocks[b as usize].as_ref().map(|h| (h.grant, h.load));
-        let Some((grant, load)) = holds else { return redirect(sh, req, b) };
-        if !sh.has_authority() {
-            return sh.busy(req, "no proof of authority");
-        }
-        // The worker has seen a token above ours: someone holds the block
-        // after us, and the watch will tell who. Never guess.
-        if r.token > grant {
-            return sh.busy(req, "a newer holder exists");
-        }
-        if self.gone.contains(&r.machine) {
-            return sh.busy(req, "this machine has been returned");
-        }
-        let ix = self.machine_put(&r.machine) as usize;
-        let m = self.machines[ix].get_or_insert_with(|| Self::blank(&r.machine, b, grant));
-        if m.grant != grant || m.block != b {
-            let held = m.held.take();
-            *m = Self::blank(&r.machine, b, grant);
-            m.held = held;
-        }
-        let mut reborn = false;
-        if (r.session, r.seq) <= (m.session, m.seq) {
-            if !m.dead {
-                return sh.busy(req, "a newer report is known");
-            }
-            // Its lease is over and with it all that it had, so a count that
-            // starts anew is a worker that did. But it may be a late copy too.
-            reborn = true;
-            (m.session, m.seq, m.answered) = (0, 0, None);
-        }
-        // The first report that this holder sees is no new session: it may be
-        // one that was under way before the tasks on record were started.
-        let new_session = m.session != 0 && r.session > m.session;
-        if !m.heeds(&r, sh.cfg.peers.len()) {
-            m.unheeded += 1;
-            m.deaf |= m.unheeded >= 2;
-        } else if m.answered.is_some() {
-            (m.unheeded, m.deaf) = (0, false);
-        }
-        m.dead = false;
-        m.addr = r.addr;
-        m.type_name = r.machine_type;
-        m.zone = r.zone;
-        m.spot = r.spot;
-        m.session = r.session;
-        m.seq = r.seq;
-        m.notice = r.notice_s.is_some();
-        m.last_report = Some(sh.now);
-        m.fenced = !reborn && (m.fenced || r.token >= grant);
-        m.reborn = reborn || m.reborn && !m.fenced;
-        // The worker has given the earlier report up.
-        let stale = m.held.take();
-        let mut commands = Vec::new();
-        if load == Load::Done {
-            let gone = read_tasks(sh, m, &r.tasks, new_session, &mut commands);
-            if let Some(h) = &mut self.blocks[b as usize] {
-                shelves::mark_stale(h, gone, sh.now);
-            }
-        }
-        let hold = if load == Load::Done && commands.is_empty() { hold_ms(sh, m) } else { 0 };
-        m.held = Some(Held { req, until: sh.now + hold, commands });
-        if let Some(h) = &mut self.blocks[b as usize] {
-            h.dirty = true;
-        }
-        if let Some(old) = stale {
-            sh.busy(old.req, "a newer report is known");
-        }
-        if hold == 0 {
-            self.answer_held(sh, ix);
-        }
-    }
-
-    /// Answers the report that a machine waits with. What is ordered is
-    /// decided now, on what is known now.
-    fn answer_held(&mut self, sh: &mut Shared, ix: usize) {
-        let Some(m) = self.machines[ix].as_mut() else { return };
-        let Some(held) = m.held.take() else { return };
-        let holds = self.blocks[m.block as usize].as_ref().is_some_and(|h| h.grant == m.grant);
-        if !holds || !sh.has_authority() {
-            return sh.busy(held.req, "no proof of authority");
-        }
-        let mut commands = held.commands;
-        orders(sh, m, &mut commands);
-        m.last_answer = Some(sh.now);
-        m.answered = Some((m.session, m.seq));
-        sh.answer_json(held.req, 200, &ReportAnswer { token: m.grant, commands });
-    }
-
-    /// Held reports are answered at the moment that work appears for their
-    /// machine, or when their time is over.
-    fn answer_due(&mut self, sh: &mut Shared) {
-        for ix in 0..self.machines.len() {
-            let Some(m) = &self.machines[ix] else { continue };
-            let Some(h) = &m.held else { continue };
-            let work = m.attempts.iter().any(|a| match a.st {
-                St::Bound => a.written && a.want && a.sent.is_none(),
-                St::Fetching | St::Running => !a.want || sh.job(a.job).state == JobState::Cancelled,
-                _ => false,
-            });
-            if work || sh.now >= h.until {
-                self.answer_held(sh, ix);
-            }
-        }
-    }
-
-    /// Machines whose lease has surely ended hold nothing any more.
-    fn check_leases(&mut self, sh: &mut Shared) {
-        let lease = (sh.cfg.cluster.workers.lease_s * 1001.0) as Ms + 1500;
-        for ix in 0..self.machines.len() {
-            let Some(m) = &mut self.machines[ix] else { continue };
-            let Some(h) = &mut self.blocks[m.block as usize] else { continue };
-            // A report that waits for its answer is no silence: the first one
-            // of a new machine would pass for the end of a lease that never
-            // began, and its tasks would be granted again while it got them.
-            if m.dead || m.held.is_some() || h.load != Load::Done {
-                continue;
-            }
-            // Until the worker has shown our token, a former holder may have
-            // answered it up to the end of its own authority.
-            let before = if m.fenced { 0 } else { h.since + sh.authority_ms };
-            let last = m.last_answer.unwrap_or(0).max(before);
-            if sh.now <= last + lease {
-                continue;
-            }
-            m.dead = true;
-            m.images.clear();
-            if m.attempts.iter().any(|a| !a.st.ended()) {
-                tracing::info!(machine = m.name, "lease ended; its tasks are gone");
-            }
-            let gone = m.attempts.extract_if(.., |a| a.st != St::Done || !a.want);
-            shelves::mark_stale(h, gone.map(|a| a.shelf), sh.now);
-            h.dirty = true;
-        }
-    }
-
-    // ---- projection and pictures for the leader ----
-
-    /// Each waiting task counts once, on its best-fit machine: the one with the
-    /// most room left when earlier ones are counted.
-    fn waiting_on(&self, sh: &Shared, block: usize) -> HashMap<usize, Res> {
-        let mut extra: HashMap<usize, Res> = HashMap::new();
-        let Some(h) = self.blocks[block].as_ref().filter(|h| !h.waiting.is_empty()) else {
-            return extra;
-        };
-        let mut able: Vec<(usize, &Machine, &MachineType, Res)> = Vec::new();
-        for (ix, m) in self.machines.iter().enumerate() {
-            let Some(m) = m.as_ref().filter(|m| m.block as usize == block && m.takes_tasks(sh)) else {
-                continue;
-            };
-            if let Some(t) = sh.type_ix(&m.type_name) {
-                able.push((ix, m, &sh.types[t], m.used()));
-            }
-        }
-        for &(job, count) in &h.waiting {
-            let Some(spec) = sh.job(job).spec.clone() else { continue };
-            let need = spec.need();
-            let parts = |load: &Res, t: &MachineType| (load.share_of(&t.room) * 1e6) as u64;
-            let fit = |m: &Machine, t: &MachineType| {
-                window::allowed(&spec, &m.type_name, &m.zone, m.spot) && need.fits(&t.room)
-            };
-            let mut heap: BinaryHeap<Reverse<(u64, usize)>> = able
-                .iter()
-                .enumerate()
-                .filter(|(_, (_, m, t, _))| fit(m, t))
-                .map(|(i, (_, _, t, load))| Reverse((parts(load, t), i)))
-                .collect();
-            for _ in 0..count {
-                let Some(Reverse((share, i))) = heap.pop() else { break };
-                // All are overloaded by what waits; more of it changes nothing.
-                if share > WAITING_ENOUGH {
-                    break;
-                }
-                let (ix, _, t, load) = &mut able[i];
-                load.add(&need);
-                extra.entry(*ix).or_default().add(&need);
-                heap.push(Reverse((parts(load, t), i)));
-            }
-        }
-        extra
-    }
-
-    fn project(&mut self, sh: &mut Shared) {
-        for b in 0..self.blocks.len() {
-            if self.blocks[b].is_none() {
-                continue;
-            }
-            let extra = self.waiting_on(sh, b);
-            let mut changed = false;
-            for (ix, m) in self.machines.iter_mut().enumerate() {
-                let Some(m) = m.as_mut().filter(|m| m.block as usize == b) else { continue };
-                let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { continue };
-                let bookings: Vec<Booking> = m
-                    .attempts
-                    .iter()
-                    .filter(|a| !a.st.ended())
-                    .map(|a| Booking {
-                        need: a.need,
-                        ran_ms: a.started.map_or(0, |s| sh.now.saturating_sub(s)),
-                        expected_ms: a.expected_ms,
-                    })
-                    .collect();
-                let more = extra.get(&ix).copied().unwrap_or_default();
-                let p = window::project(&sh.op, &t.room, &bookings, &more);
-                changed |= p.overloaded != m.overloaded;
-                m.overloaded = p.overloaded;
-                m.peak = p.peak;
-            }
-            if changed && let Some(h) = &mut self.blocks[b] {
-                h.dirty = true;
-            }
-        }
-    }
-
-    fn tell_leader(&mut self, sh: &mut Shared) {
-        let Some((leader, term)) = sh.leader.clone() else { return };
-        let now = sh.now;
-        for b in 0..self.blocks.len() {
-            let Some(h) = &mut self.blocks[b] else { continue };
-            if h.load != Load::Done {
-                continue;
-            }
-            let gap = sh.widened(HAVE_GAP_MS, h.size);
-            let due = h.sent_at + if h.dirty { gap } else { HAVE_EVERY_MS.max(gap) };
-            if now < due && h.sent_at != 0 {
-                continue;
-            }
-            h.dirty = false;
-            h.sent_at = now;
-            let echo = if h.term == term { h.echo } else { 0 };
-            let mut have = Have {
-                term,
-                block: b as u32,
-                grant: h.grant,
-                echo,
-                types: Vec::new(),
-                jobs: Vec::new(),
-                machines: Vec::new(),
-            };
-            let mut rows: HashMap<u32, u32> = HashMap::new();
-            for m in self.machines.iter().flatten().filter(|m| m.block as usize == b) {
-                let m = have_machine(sh, m, &mut have, &mut rows);
-                have.machines.push(m);
-            }
-            h.size = have.machines.iter().map(|m| 1 + m.tasks.len()).sum();
-            sh.send(&leader.node, Body::Have(have));
-        }
-    }
-}
-
-/// How long a report may wait for work. A machine with room gets new work the
-/// sooner; one with tasks also has their ends to tell, so it waits less. The
-/// worker gives up after 4 s.
-fn hold_ms(sh: &Shared, m: &Machine) -> Ms {
-    if !m.takes_tasks(sh) {
-        return 0;
-    }
-    let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { return 0 };
-    let ready = m.attempts.iter().any(|a| a.st == St::Bound && a.written && a.want);
-    let ended = m.attempts.iter().any(|a| a.st.ended() && !a.want);
-    if ready || ended {
-        return 0;
-    }
-    if m.attempts.is_empty() {
-        HOLD_IDLE_MS
-    } else if m.used().share_of(&t.room) < 0.95 {
-        HOLD_BUSY_MS
-    } else {
-        0
-    }
-}
-
-fn redirect(sh: &mut Shared, req: u64, block: u32) {
-    let holder = sh.block_recs[block as usize].as_ref().map(|(r, _)| r.node.clone());
-    match holder {
-        Some(node) if node != sh.me => {
-            sh.answer_json(req, 421, &Redirect { report_to: Some(node) });
-        }
-        _ => sh.busy(req, "nobody holds this machine's block yet"),
-    }
 }
 
 fn knows_jobs(sh: &Shared, w: &Want) -> bool {
@@ -961,162 +665,3 @@
         sum <= cache_gb.max(0.1)
     });
 }
-
-/// Takes in what a report says of the machine's tasks, and what it proves by
-/// not saying it. The shelves of what is gone.
-fn read_tasks(
-    sh: &mut Shared,
-    m: &mut Machine,
-    tasks: &[ReportTask],
-    new_session: bool,
-    commands: &mut Vec<Command>,
-) -> Vec<u32> {
-    let now = sh.now;
-    let mut listed: HashSet<u64> = HashSet::new();
-    for t in tasks {
-        let found = split_task(&t.task).and_then(|(job, task)| {
-            let job = sh.job_ix(job)?;
-            m.attempts.iter_mut().find(|a| a.id == t.attempt && a.job == job && a.task == task)
-        });
-        let Some(a) = found else {
-            // Nobody's: no record stands behind it, so it must not go on.
-            let op = if t.state == TaskState::Exited { Op::Forget } else { Op::Stop };
-            let grace_s = (op == Op::Stop).then_some(0.0);
-            commands.push(Command { op, task: t.task.clone(), attempt: t.attempt, grace_s });
-            continue;
-        };
-        listed.insert(a.id);
-        a.seen = true;
-        let st = match t.state {
-            TaskState::Fetching => St::Fetching,
-            TaskState::Running | TaskState::Other => St::Running,
-            TaskState::Saving => St::Saving,
-            TaskState::Exited => match t.why.as_deref() {
-                Some("done") => St::Done,
-                Some("error") => St::Failed,
-                Some("halted") => St::Stopped,
-                _ => St::Refused,
-            },
-        };
-        if st == St::Running && a.started.is_none() {
-            a.started = Some(now);
-        }
-        if st.ended()
-            && !a.st.ended()
-            && let Some(s) = a.started
-        {
-            a.ran = now.saturating_sub(s);
-        }
-        a.st = st;
-    }
-    let fenced = m.fenced;
-    let newest = (m.session, m.seq);
-    let lost = |a: &Attempt| a.st == St::Bound && a.sent.is_some_and(|s| s < newest);
-    if m.attempts.iter().any(|a| lost(a) && !listed.contains(&a.id)) {
-        m.deaf = true;
-        tracing::info!(machine = m.name, "answers don't reach the machine; no new work for it");
-    }
-    let (deaf, machine) = (m.deaf, m.name.as_str());
-    let gone = m.attempts.extract_if(.., |a| {
-        if listed.contains(&a.id) {
-            return false;
-        }
-        match a.st {
-            // Kept as knowledge until the leader has recorded it.
-            St::Done if a.want => false,
-            // Sent in an answer to an earlier report: the worker sends the next
-            // one only after that answer, or having given it up, so what this
-            // one does not list never came. What was not sent waits, unless
-            // nothing reaches the machine.
-            St::Bound if a.want => lost(a) || deaf && a.sent.is_none(),
-            // The former holder's answer can't be under way any more once
-            // the worker knows our token.
-            St::Inherited => fenced || new_session,
-            _ => true,
-        }
-    });
-    gone.map(|a| {
-        tracing::debug!(machine, job = sh.job_names.name(a.job), task = a.task, attempt = a.id, st = ?a.st, new_session, "gone");
-        a.shelf
-    })
-    .collect()
-}
-
-/// What the worker shall do now.
-fn orders(sh: &Shared, m: &mut Machine, commands: &mut Vec<Command>) {
-    let stoppable = |a: &Attempt| matches!(a.st, St::Fetching | St::Running | St::Saving);
-    for a in &mut m.attempts {
-        let task = || format!("{}/{}", sh.job_names.name(a.job), a.task);
-        let job = sh.job(a.job);
-        let withdrawn = job.state == JobState::Cancelled;
-        if a.st == St::Bound
-            && a.want
-            && a.written
-            && !m.deaf
-            && !m.returning_written
-            && job.state == JobState::Live
-        {
-            a.sent.get_or_insert((m.session, m.seq));
-            tracing::debug!(machine = m.name, task = task(), attempt = a.id, "run sent");
-            commands.push(Command { op: Op::Start, task: task(), attempt: a.id, grace_s: None });
-        } else if stoppable(a) && (withdrawn || !a.want) {
-            let spec = job.spec.as_deref();
-            let saves = spec.is_some_and(|s| s.checkpoint_s > 0.0) && !withdrawn;
-            let grace = if saves { spec.map_or(0.0, |s| s.save_s) } else { 0.0 };
-            if a.st == St::Saving && !withdrawn {
-                continue;
-            }
-            commands.push(Command { op: Op::Stop, task: task(), attempt: a.id, grace_s: Some(grace) });
-        } else if a.st.ended() && !a.want && a.seen {
-            commands.push(Command { op: Op::Forget, task: task(), attempt: a.id, grace_s: None });
-        }
-    }
-}
-
-/// A machine as the picture shows it; `rows` are the places of its jobs there.
-fn have_machine(sh: &Shared, m: &Machine, have: &mut Have, rows: &mut HashMap<u32, u32>) -> HaveMachine {
-    let known = have.types.iter().position(|t| *t == m.type_name);
-    let machine_type = known.unwrap_or_else(|| {
-        have.types.push(m.type_name.clone());
-        have.types.len() - 1
-    }) as u32;
-    let mut tasks = Vec::with_capacity(m.attempts.len());
-    for a in &m.attempts {
-        let job = *rows.entry(a.job).or_insert_with(|| {
-            have.jobs.push(HaveJob {
-                job: sh.job_names.name(a.job).clone(),
-                team: a.team.clone(),
-                cpus: a.need.cpus,
-                gpus: a.need.gpus,
-                memory_gb: a.need.mem,
-            });
-            have.jobs.len() as u32 - 1
-        });
-        let ran_ms =
-            if a.st.ended() { a.ran } else { a.started.map_or(0, |s| sh.now.saturating_sub(s)) };
-        let state = match a.st {
-            St::Bound | St::Inherited => HaveState::Bound,
-            St::Fetching => HaveState::Fetching,
-            St::Running => HaveState::Running,
-            St::Saving => HaveState::Saving,
-            St::Done => HaveState::Done,
-            St::Stopped => HaveState::Stopped,
-            St::Failed => HaveState::Failed,
-            St::Refused => HaveState::Refused,
-        };
-        tasks.push(HaveTask { job, task: a.task, attempt: a.id, state, ran_ms });
-    }
-    HaveMachine {
-        machine: m.name.clone(),
-        machine_type,
-        spot: m.spot,
-        silent_ms: m.last_report.map_or(u64::MAX, |at| sh.now - at),
-        notice: m.notice,
-        returning: m.returning_written,
-        fenced: m.fenced,
-        deaf: m.deaf,
-        peak: m.peak,
-        overloaded: m.overloaded,
-        tasks,
-    }
-}
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -8,8 +8,9 @@
 use super::fleet::Fleet;
 use super::forecast::History;
 use super::model::{Ms, Res, Spec, TaskSet};
+use super::progress::{CHUNK_WORDS, progress_key};
 use super::shared::Shared;
-use super::sync::{CATALOG, LEADER, block_key, job_key};
+use super::sync::{CATALOG, LEADER, block_key};
 use super::{CloudResult, Purpose, StateOp, StateResult};
 use crate::wire::peer::{Body, Have, HaveJob, HaveState, HaveTask, Want, WantJob};
 use crate::wire::state::{
@@ -20,15 +21,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
-/// Tasks per progress record: 4 KiB of hexadecimal digits.
-const CHUNK: u32 = 16_384;
-const CHUNK_WORDS: usize = (CHUNK / 64) as usize;
 const WANT_GAP_MS: Ms = 30;
 const WANT_EVERY_MS: Ms = 500;
 const POLL_GAP_MS: Ms = 20;
 const ROUND_GAP_MS: Ms = 50;
 const ROUND_EVERY_MS: Ms = 500;
-const RECORD_GAP_MS: Ms = 150;
 /// How long a new leader waits for the recorded holders to show themselves.
 const HOLDER_GRACE_MS: Ms = 2_500;
 /// A node must have been heard for so long before blocks move to it for
@@ -70,14 +67,14 @@
     pub spec: Arc<Spec>,
     pub team: usize,
     pub done: TaskSet,
-    recorded: TaskSet,
+    pub(super) recorded: TaskSet,
     /// Done but not yet in a record.
-    unrecorded: Vec<u32>,
-    recording: bool,
-    chunks: BTreeSet<u32>,
+    pub(super) unrecorded: Vec<u32>,
+    pub(super) recording: bool,
+    pub(super) chunks: BTreeSet<u32>,
     /// Tasks with an attempt, or waiting in `retry`.
     pub issued: TaskSet,
-    next: u32,
+    pub(super) next: u32,
     pub retry: Vec<u32>,
     /// Times that tasks failed without any having succeeded since.
     pub fails: u32,
@@ -85,8 +82,8 @@
     pub hold_until: Ms,
     /// Within its team's guarantee, with the team's earlier jobs.
     pub within: bool,
-    finish_busy: bool,
-    finish_at: Ms,
+    pub(super) finish_busy: bool,
+    pub(super) finish_at: Ms,
 }
 
 impl LJob {
@@ -214,7 +211,7 @@
     pub round_due: bool,
     poll_at: Ms,
     round_at: Ms,
-    record_at: Ms,
+    pub(super) record_at: Ms,
     counts_at: Ms,
     /// Progress read before its job was known.
     progress: HashMap<String, Vec<(u32, String)>>,
@@ -839,74 +836,6 @@
             .collect();
     }
 
-    // ---- recording what is done ----
-
-    fn record(&mut self, sh: &mut Shared) {
-        let now = sh.now;
-        // Whole jobs first: their users wait for just this.
-        let mut finish = Vec::new();
-        for (ix, j) in &mut self.jobs {
-            if j.done.len() == j.spec.tasks && !j.finish_busy && now >= j.finish_at {
-                j.finish_busy = true;
-                finish.push(*ix);
-            }
-        }
-        for ix in finish {
-            self.finish(sh, ix);
-        }
-        if now < self.record_at + RECORD_GAP_MS || !sh.can_write(1) {
-            return;
-        }
-        let max_ops = sh.cfg.cluster.state.txn_ops.min(8);
-        let mut txn = Txn { conds: vec![self.leader_cond()], changes: Vec::new() };
-        let mut items = Vec::new();
-        for (ix, j) in &mut self.jobs {
-            if j.unrecorded.is_empty() || j.recording || j.done.len() == j.spec.tasks {
-                continue;
-            }
-            let chunks: BTreeSet<u32> = j.unrecorded.iter().map(|t| t / CHUNK).collect();
-            if txn.changes.len() + chunks.len() > max_ops {
-                if !items.is_empty() {
-                    break;
-                }
-                // One job alone passes the limit: take what fits.
-                let few: BTreeSet<u32> = chunks.iter().copied().take(max_ops).collect();
-                let (now, later): (Vec<u32>, Vec<u32>) =
-                    j.unrecorded.iter().partition(|t| few.contains(&(**t / CHUNK)));
-                j.unrecorded = later;
-                push_chunks(sh, *ix, j, &few, &mut txn);
-                items.push((*ix, now));
-                break;
-            }
-            push_chunks(sh, *ix, j, &chunks, &mut txn);
-            items.push((*ix, std::mem::take(&mut j.unrecorded)));
-        }
-        if items.is_empty() {
-            return;
-        }
-        self.record_at = now;
-        sh.state_call(Purpose::Leader(LeaderCall::Record { items }), StateOp::Txn(txn));
-    }
-
-    fn finish(&mut self, sh: &mut Shared, ix: u32) {
-        let Some(j) = self.jobs.get(&ix) else { return };
-        let id = sh.job_names.name(ix).clone();
-        let key = job_key(&id);
-        let rec = JobRecord { state: JobState::Done, spec: None, tasks: j.spec.tasks };
-        let mut changes = vec![Change::Put {
-            key: key.clone(),
-            value: serde_json::to_value(rec).unwrap_or_default(),
-            lease: None,
-        }];
-        let most = sh.cfg.cluster.state.txn_ops - 1;
-        for c in j.chunks.iter().take(most) {
-            changes.push(Change::Delete { key: progress_key(&id, *c) });
-        }
-        let stamp = sh.job(ix).stamp;
-        let txn = Txn { conds: vec![self.leader_cond(), Cond { key, version: stamp }], changes };
-        sh.state_call(Purpose::Leader(LeaderCall::Finish { job: ix }), StateOp::Txn(txn));
-    }
-
     pub fn on_result(&mut self, sh: &mut Shared, call: LeaderCall, result: StateResult) {
         match call {
             LeaderCall::Places => self.on_load(sh, 0, result),
@@ -958,18 +887,6 @@
         }
     }
 
-    /// Attempts whose success is recorded may be cleared from the machines.
-    fn release_done(&mut self, job: u32) {
-        let Some(j) = self.jobs.get(&job) else { return };
-        for id in self.attempts.of_job(job) {
-            let Some(a) = self.attempts.get_mut(id) else { continue };
-            if a.want && a.state == HaveState::Done && j.recorded.contains(a.task) {
-                a.want = false;
-                self.blocks[a.block as usize].dirty = true;
-            }
-        }
-    }
-
     pub fn on_cloud(&mut self, sh: &mut Shared, call: u64, result: CloudResult) {
         self.fleet_result(sh, call, result);
     }
@@ -998,21 +915,3 @@
         sh.state_call(Purpose::Leader(LeaderCall::SaveFleet), StateOp::Txn(txn));
     }
 }
-
-fn push_chunks(sh: &Shared, ix: u32, j: &mut LJob, chunks: &BTreeSet<u32>, txn: &mut Txn) {
-    j.recording = true;
-    let id = sh.job_names.name(ix);
-    for c in chunks {
-        let from = *c as usize * CHUNK_WORDS;
-        txn.changes.push(Change::Put {
-            key: progress_key(id, *c),
-            value: serde_json::Value::String(j.done.to_hex(from, from + CHUNK_WORDS)),
-            lease: None,
-        });
-        j.chunks.insert(*c);
-    }
-}
-
-fn progress_key(id: &str, chunk: u32) -> String {
-    format!("progress/{id}/{chunk}")
-}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! plays the same way every time.
 
 pub mod attempts;
+pub mod dialogue;
 pub mod door;
 pub mod fleet;
 pub mod forecast;
@@ -13,6 +14,9 @@
 pub mod holder;
 pub mod leader;
 pub mod model;
+pub mod picture;
+pub mod plan;
+pub mod progress;
 pub mod shared;
 pub mod shelves;
 pub mod sync;
--- /dev/null
+++ b/src/core/picture.rs
@@ -0,0 +1,177 @@
+//! What the holder tells the leader: whole pictures of its blocks, with the
+//! design's projection of their machines.
+
+use super::holder::{Holder, Load, Machine, St};
+use super::model::{MachineType, Ms, Res};
+use super::shared::Shared;
+use super::window::{self, Booking};
+use crate::wire::peer::{Body, Have, HaveJob, HaveMachine, HaveState, HaveTask};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+/// Sooner than this no second picture of a block is sent.
+const HAVE_GAP_MS: Ms = 60;
+const HAVE_EVERY_MS: Ms = 1_000;
+/// A machine's load in millionths of its room that leaves no doubt.
+const WAITING_ENOUGH: u64 = 3_000_000;
+
+impl Holder {
+    /// Each waiting task counts once, on its best-fit machine: the one with the
+    /// most room left when earlier ones are counted.
+    fn waiting_on(&self, sh: &Shared, block: usize) -> HashMap<usize, Res> {
+        let mut extra: HashMap<usize, Res> = HashMap::new();
+        let Some(h) = self.blocks[block].as_ref().filter(|h| !h.waiting.is_empty()) else {
+            return extra;
+        };
+        let mut able: Vec<(usize, &Machine, &MachineType, Res)> = Vec::new();
+        for (ix, m) in self.machines.iter().enumerate() {
+            let Some(m) = m.as_ref().filter(|m| m.block as usize == block && m.takes_tasks(sh)) else {
+                continue;
+            };
+            if let Some(t) = sh.type_ix(&m.type_name) {
+                able.push((ix, m, &sh.types[t], m.used()));
+            }
+        }
+        for &(job, count) in &h.waiting {
+            let Some(spec) = sh.job(job).spec.clone() else { continue };
+            let need = spec.need();
+            let parts = |load: &Res, t: &MachineType| (load.share_of(&t.room) * 1e6) as u64;
+            let fit = |m: &Machine, t: &MachineType| {
+                window::allowed(&spec, &m.type_name, &m.zone, m.spot) && need.fits(&t.room)
+            };
+            let mut heap: BinaryHeap<Reverse<(u64, usize)>> = able
+                .iter()
+                .enumerate()
+                .filter(|(_, (_, m, t, _))| fit(m, t))
+                .map(|(i, (_, _, t, load))| Reverse((parts(load, t), i)))
+                .collect();
+            for _ in 0..count {
+                let Some(Reverse((share, i))) = heap.pop() else { break };
+                // All are overloaded by what waits; more of it changes nothing.
+                if share > WAITING_ENOUGH {
+                    break;
+                }
+                let (ix, _, t, load) = &mut able[i];
+                load.add(&need);
+                extra.entry(*ix).or_default().add(&need);
+                heap.push(Reverse((parts(load, t), i)));
+            }
+        }
+        extra
+    }
+
+    pub(super) fn project(&mut self, sh: &mut Shared) {
+        for b in 0..self.blocks.len() {
+            if self.blocks[b].is_none() {
+                continue;
+            }
+            let extra = self.waiting_on(sh, b);
+            let mut changed = false;
+            for (ix, m) in self.machines.iter_mut().enumerate() {
+                let Some(m) = m.as_mut().filter(|m| m.block as usize == b) else { continue };
+                let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { continue };
+                let bookings: Vec<Booking> = m
+                    .attempts
+                    .iter()
+                    .filter(|a| !a.st.ended())
+                    .map(|a| Booking {
+                        need: a.need,
+                        ran_ms: a.started.map_or(0, |s| sh.now.saturating_sub(s)),
+                        expected_ms: a.expected_ms,
+                    })
+                    .collect();
+                let more = extra.get(&ix).copied().unwrap_or_default();
+                let p = window::project(&sh.op, &t.room, &bookings, &more);
+                changed |= p.overloaded != m.overloaded;
+                m.overloaded = p.overloaded;
+                m.peak = p.peak;
+            }
+            if changed && let Some(h) = &mut self.blocks[b] {
+                h.dirty = true;
+            }
+        }
+    }
+
+    pub(super) fn tell_leader(&mut self, sh: &mut Shared) {
+        let Some((leader, term)) = sh.leader.clone() else { return };
+        let now = sh.now;
+        for b in 0..self.blocks.len() {
+            let Some(h) = &mut self.blocks[b] else { continue };
+            if h.load != Load::Done {
+                continue;
+            }
+            let gap = sh.widened(HAVE_GAP_MS, h.size);
+            let due = h.sent_at + if h.dirty { gap } else { HAVE_EVERY_MS.max(gap) };
+            if now < due && h.sent_at != 0 {
+                continue;
+            }
+            h.dirty = false;
+            h.sent_at = now;
+            let echo = if h.term == term { h.echo } else { 0 };
+            let mut have = Have {
+                term,
+                block: b as u32,
+                grant: h.grant,
+                echo,
+                types: Vec::new(),
+                jobs: Vec::new(),
+                machines: Vec::new(),
+            };
+            let mut rows: HashMap<u32, u32> = HashMap::new();
+            for m in self.machines.iter().flatten().filter(|m| m.block as usize == b) {
+                let m = have_machine(sh, m, &mut have, &mut rows);
+                have.machines.push(m);
+            }
+            h.size = have.machines.iter().map(|m| 1 + m.tasks.len()).sum();
+            sh.send(&leader.node, Body::Have(have));
+        }
+    }
+}
+
+/// A machine as the picture shows it; `rows` are the places of its jobs there.
+fn have_machine(sh: &Shared, m: &Machine, have: &mut Have, rows: &mut HashMap<u32, u32>) -> HaveMachine {
+    let known = have.types.iter().position(|t| *t == m.type_name);
+    let machine_type = known.unwrap_or_else(|| {
+        have.types.push(m.type_name.clone());
+        have.types.len() - 1
+    }) as u32;
+    let mut tasks = Vec::with_capacity(m.attempts.len());
+    for a in &m.attempts {
+        let job = *rows.entry(a.job).or_insert_with(|| {
+            have.jobs.push(HaveJob {
+                job: sh.job_names.name(a.job).clone(),
+                team: a.team.clone(),
+                cpus: a.need.cpus,
+                gpus: a.need.gpus,
+                memory_gb: a.need.mem,
+            });
+            have.jobs.len() as u32 - 1
+        });
+        let ran_ms =
+            if a.st.ended() { a.ran } else { a.started.map_or(0, |s| sh.now.saturating_sub(s)) };
+        let state = match a.st {
+            St::Bound | St::Inherited => HaveState::Bound,
+            St::Fetching => HaveState::Fetching,
+            St::Running => HaveState::Running,
+            St::Saving => HaveState::Saving,
+            St::Done => HaveState::Done,
+            St::Stopped => HaveState::Stopped,
+            St::Failed => HaveState::Failed,
+            St::Refused => HaveState::Refused,
+        };
+        tasks.push(HaveTask { job, task: a.task, attempt: a.id, state, ran_ms });
+    }
+    HaveMachine {
+        machine: m.name.clone(),
+        machine_type,
+        spot: m.spot,
+        silent_ms: m.last_report.map_or(u64::MAX, |at| sh.now - at),
+        notice: m.notice,
+        returning: m.returning_written,
+        fenced: m.fenced,
+        deaf: m.deaf,
+        peak: m.peak,
+        overloaded: m.overloaded,
+        tasks,
+    }
+}
