--- a/src/core/dialogue.rs
+++ b/src/core/dialogue.rs
@@ -10,7 +10,7 @@
 use std::collections::HashSet;
 
 /// Reports of machines with room wait for work, so long at most.
-const HOLD_IDLE_MS: Ms = 3_200;
+const HOLD_IDLE_MS: Ms = 2_500;
 const HOLD_BUSY_MS: Ms = 500;
 
 impl Holder {
