--- a/src/config.rs
+++ b/src/config.rs
@@ -100,12 +100,68 @@
     pub cancel_s: f64,
 }
 
+/// What the state service takes. When `next` announces other limits, these are
+/// the smaller of both from the start: the change comes without notice, and
+/// what was written before should fit by then.
 #[derive(Debug, Clone, Deserialize)]
 pub struct StateLimits {
     pub rps: f64,
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+    /// The limit of a value today, before `next`.
+    #[serde(skip)]
+    pub today_kb: f64,
+}
+
+/// Limits to come; what is left out stays as it is.
+#[derive(Debug, Clone, Deserialize)]
+pub struct NextLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+/// Below this not even the record of an ordinary job fits.
+const LEAST_VALUE_KB: f64 = 1.0;
+
+impl StateLimits {
+    fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        let Some(n) = &self.next else { return Ok(()) };
+        let usable = |v: Option<f64>, least: f64| v.is_none_or(|v| v.is_finite() && v >= least);
+        if !usable(n.rps, 1.0) {
+            return Err(("cluster.state.next.rps", "must be a number of at least 1"));
+        }
+        if !usable(n.write_rps, 1.0) {
+            return Err(("cluster.state.next.write_rps", "must be a number of at least 1"));
+        }
+        if !usable(n.value_kb, LEAST_VALUE_KB) {
+            return Err(("cluster.state.next.value_kb", "must be a number of at least 1"));
+        }
+        if n.txn_ops.is_some_and(|n| n < 2) {
+            return Err(("cluster.state.next.txn_ops", "must be at least 2"));
+        }
+        Ok(())
+    }
+
+    /// Takes the smaller of today's and the next limits.
+    fn settle(&mut self) {
+        self.today_kb = self.value_kb;
+        if let Some(n) = &self.next {
+            self.rps = self.rps.min(n.rps.unwrap_or(f64::INFINITY));
+            self.write_rps = self.write_rps.min(n.write_rps.unwrap_or(f64::INFINITY));
+            self.value_kb = self.value_kb.min(n.value_kb.unwrap_or(f64::INFINITY));
+            self.txn_ops = self.txn_ops.min(n.txn_ops.unwrap_or(usize::MAX));
+        }
+    }
+
+    /// Bytes that a value may have.
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * 1024.0) as usize
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -196,13 +252,14 @@
     }
 
     pub fn parse(file: &str, text: &str) -> Result<Platform, ConfigError> {
-        let p: Platform = toml::from_str(text).map_err(|e| {
+        let mut p: Platform = toml::from_str(text).map_err(|e| {
             let line = e.span().map(|s| text[..s.start].lines().count().max(1)).unwrap_or(1);
             let at = text.lines().nth(line.saturating_sub(1)).unwrap_or("").trim();
             let why = e.message().lines().collect::<Vec<_>>().join(" ");
             ConfigError::Malformed { file: file.into(), why: format!("line {line} ({at}): {why}") }
         })?;
         p.check(file)?;
+        p.cluster.state.settle();
         Ok(p)
     }
 
@@ -241,6 +298,9 @@
         if c.state.txn_ops < 2 {
             return bad("cluster.state.txn_ops", "must be at least 2");
         }
+        if let Err((field, why)) = c.state.check() {
+            return bad(field, why);
+        }
         if c.limits.max_connections < 32 {
             return bad("cluster.limits.max_connections", "must be at least 32");
         }
--- a/src/core/door.rs
+++ b/src/core/door.rs
@@ -4,13 +4,20 @@
 //! never change and are answered from memory; every other answer rests on a
 //! read of the state service begun after the request came in. Requests for
 //! the same job share one read.
+//!
+//! A job that awaits others is live only if none before it is withdrawn. That
+//! is known from the watch, which may lag, but not by more than the authority
+//! that workers are answered on: a cancellation it does not show yet was told
+//! to its user less than that ago, well within `cancel_s`. Without it, there is
+//! no answer. Where one before is withdrawn, the job's own withdrawal is written
+//! before the answer, so that no other node calls it live later.
 
 use super::model::Spec;
 use super::shared::Shared;
 use super::sync::job_key;
 use super::{Purpose, StateOp, StateResult};
 use crate::wire::state::{Change, Cond, JobRecord, JobState, Txn};
-use crate::wire::users::{StatusBody, parse_job, valid_id};
+use crate::wire::users::{Invalid, StatusBody, Submission, parse_job, valid_id};
 use std::collections::HashMap;
 
 /// More waiting requests than this are turned away at once.
@@ -20,12 +27,30 @@
 
 #[derive(Debug)]
 pub enum DoorCall {
-    Submit { req: u64, id: String },
+    Submit { req: u64, id: String, state: JobState },
     Read { id: String },
     Cancel { req: u64, id: String, tries: u32 },
+    Withdraw { id: String },
+}
+
+/// A final no to a submission.
+#[derive(Debug, Clone)]
+struct Refusal {
+    status: u16,
+    why: String,
+    field: Option<&'static str>,
 }
 
-#[derive(Debug, Clone, Copy)]
+/// A submission whose awaited jobs are being looked up.
+#[derive(Debug)]
+struct Check {
+    req: u64,
+    id: String,
+    spec: Spec,
+    awaits: Vec<String>,
+}
+
+#[derive(Debug, Clone)]
 enum Then {
     Status(u64),
     /// The job was there already, or may be: answer with what is.
@@ -34,6 +59,10 @@
         req: u64,
         tries: u32,
     },
+    /// Refused, unless it turns out to have been accepted before.
+    Refuse(u64, Refusal),
+    /// The submission of this number awaits the job that is read.
+    Awaited(u64),
 }
 
 #[derive(Debug, Default)]
@@ -47,6 +76,10 @@
 #[derive(Debug, Default)]
 pub struct Door {
     reads: HashMap<String, Read>,
+    checks: HashMap<u64, Check>,
+    next_check: u64,
+    /// Requests that wait for a job's withdrawal to be written.
+    withdrawals: HashMap<String, Vec<u64>>,
     waiting: usize,
     next_sweep: u64,
 }
@@ -60,14 +93,15 @@
     }
 
     pub fn submit(&mut self, sh: &mut Shared, req: u64, body: &[u8]) {
-        let (id, mut spec) = match parse_job(body) {
+        let Submission { id, spec, awaits } = match parse_job(body) {
             Ok(x) => x,
             Err(e) => {
                 let why = format!("{} {}", e.field, e.why);
                 return sh.refuse(req, 400, &why, Some(e.field));
             }
         };
-        // An accepted job stays accepted, whatever a later body says.
+        // An accepted job stays accepted, whatever a later body says and
+        // whatever has become of the limits.
         if let Some(ix) = sh.job_ix(&id) {
             let state = sh.job(ix).state;
             if state != JobState::Live {
@@ -81,28 +115,54 @@
         if sh.types.is_empty() {
             return sh.busy(req, "machine types are not known yet");
         }
-        if let Err(why) = can_run(sh, &spec) {
-            // The job may have been accepted elsewhere a moment ago; only
-            // the state service knows.
-            tracing::debug!(id, why, "job can never run");
-            return sh.refuse(req, 422, &why, None);
+        let awaits = match check_new(sh, &id, &spec, awaits) {
+            Ok(awaits) => awaits,
+            // It may have been accepted elsewhere a moment ago; only the state
+            // service knows.
+            Err(no) => return self.read(sh, id, Then::Refuse(req, no)),
+        };
+        if !awaits.is_empty() && !sh.has_authority() {
+            return sh.busy(req, "not in touch with the state service");
+        }
+        self.check_awaited(sh, Check { req, id, spec, awaits });
+    }
+
+    /// Looks up the next awaited job that is not known yet. That one is unknown
+    /// is said only on a read begun after the request: the watch lags.
+    fn check_awaited(&mut self, sh: &mut Shared, check: Check) {
+        match check.awaits.iter().find(|id| sh.job_ix(id).is_none()).cloned() {
+            None => self.create(sh, check),
+            Some(unknown) => {
+                self.next_check += 1;
+                self.checks.insert(self.next_check, check);
+                self.read(sh, unknown, Then::Awaited(self.next_check));
+            }
         }
+    }
+
+    fn create(&mut self, sh: &mut Shared, check: Check) {
+        let Check { req, id, mut spec, awaits } = check;
         if self.waiting >= MAX_WAITING {
             return sh.busy(req, "too many requests at once");
         }
         spec.at_ms = sh.wall;
-        let rec = JobRecord { state: JobState::Live, tasks: spec.tasks, spec: Some(spec) };
-        let value = serde_json::to_value(rec).unwrap_or_default();
-        if value.to_string().len() as f64 > sh.cfg.cluster.state.value_kb * 1024.0 {
-            return sh.refuse(req, 400, "body is too large to be kept", Some("body"));
-        }
+        // Accepted all the same, but called live by no one at any time: its
+        // user may have been told of that cancellation long ago.
+        let withdrawn = awaits.iter().filter_map(|a| sh.job_ix(a)).any(|ix| {
+            let job = sh.job(ix);
+            job.state == JobState::Cancelled || job.links.doomed
+        });
+        let rec =
+            if withdrawn { JobRecord::withdrawn(spec.tasks) } else { JobRecord::live(spec, &awaits) };
+        let state = rec.state;
         let key = job_key(&id);
+        let value = serde_json::to_value(rec).unwrap_or_default();
         let txn = Txn {
             conds: vec![Cond { key: key.clone(), version: 0 }],
             changes: vec![Change::Put { key, value, lease: None }],
         };
         self.waiting += 1;
-        sh.state_call(Purpose::Door(DoorCall::Submit { req, id }), StateOp::Txn(txn));
+        sh.state_call(Purpose::Door(DoorCall::Submit { req, id, state }), StateOp::Txn(txn));
     }
 
     pub fn status(&mut self, sh: &mut Shared, req: u64, id: &str) {
@@ -138,12 +198,11 @@
         }
         let key = job_key(&id);
         let tasks = sh.job_ix(&id).map_or(0, |ix| sh.job(ix).tasks);
-        let rec = JobRecord { state: JobState::Cancelled, spec: None, tasks };
         let txn = Txn {
             conds: vec![Cond { key: key.clone(), version: stamp }],
             changes: vec![Change::Put {
                 key,
-                value: serde_json::to_value(rec).unwrap_or_default(),
+                value: serde_json::to_value(JobRecord::withdrawn(tasks)).unwrap_or_default(),
                 lease: None,
             }],
         };
@@ -151,9 +210,62 @@
         sh.state_call(Purpose::Door(DoorCall::Cancel { req, id, tries }), StateOp::Txn(txn));
     }
 
+    /// Answers for a job read as live, unless it has to be withdrawn first.
+    fn answer_live(&mut self, sh: &mut Shared, req: u64, id: &str) {
+        let Some(ix) = sh.job_ix(id) else { return sh.busy(req, "not known yet") };
+        let (links, stamp, tasks) = (&sh.job(ix).links, sh.job(ix).stamp, sh.job(ix).tasks);
+        if links.open > 0 && !sh.has_authority() {
+            return sh.busy(req, "not in touch with the state service");
+        }
+        if !links.doomed {
+            return answer_state(sh, req, 200, id, JobState::Live);
+        }
+        if self.waiting >= MAX_WAITING {
+            return sh.busy(req, "too many requests at once");
+        }
+        self.waiting += 1;
+        let waiters = self.withdrawals.entry(id.to_string()).or_default();
+        waiters.push(req);
+        if waiters.len() > 1 {
+            return;
+        }
+        let key = job_key(id);
+        let value = serde_json::to_value(JobRecord::withdrawn(tasks)).unwrap_or_default();
+        let txn = Txn {
+            conds: vec![Cond { key: key.clone(), version: stamp }],
+            changes: vec![Change::Put { key, value, lease: None }],
+        };
+        let call = DoorCall::Withdraw { id: id.to_string() };
+        sh.state_call(Purpose::Door(call), StateOp::Txn(txn));
+    }
+
+    fn on_withdrawn(&mut self, sh: &mut Shared, id: String, result: StateResult) {
+        let waiters = self.withdrawals.remove(&id).unwrap_or_default();
+        self.waiting = self.waiting.saturating_sub(waiters.len());
+        if let StateResult::Done { revision } = result {
+            sh.put_job(&id, JobRecord::withdrawn(0), revision);
+        }
+        for req in waiters {
+            match result {
+                StateResult::Done { .. } => answer_state(sh, req, 200, &id, JobState::Cancelled),
+                StateResult::Failed(_) | StateResult::Unknown => {
+                    self.read(sh, id.clone(), Then::Status(req));
+                }
+                _ => sh.busy(req, "the state service does not take it now"),
+            }
+        }
+    }
+
     fn read(&mut self, sh: &mut Shared, id: String, then: Then) {
         if self.waiting >= MAX_WAITING {
-            let (Then::Status(req) | Then::Resubmit(req) | Then::Cancel { req, .. }) = then;
+            let req = match then {
+                Then::Status(req) | Then::Resubmit(req) | Then::Refuse(req, _) => req,
+                Then::Cancel { req, .. } => req,
+                Then::Awaited(n) => match self.checks.remove(&n) {
+                    Some(check) => check.req,
+                    None => return,
+                },
+            };
             return sh.busy(req, "too many requests at once");
         }
         self.waiting += 1;
@@ -168,10 +280,11 @@
 
     pub fn on_result(&mut self, sh: &mut Shared, call: DoorCall, result: StateResult) {
         match call {
-            DoorCall::Submit { req, id } => {
+            DoorCall::Withdraw { id } => self.on_withdrawn(sh, id, result),
+            DoorCall::Submit { req, id, state } => {
                 self.waiting -= 1;
                 match result {
-                    StateResult::Done { .. } => answer_state(sh, req, 201, &id, JobState::Live),
+                    StateResult::Done { .. } => answer_state(sh, req, 201, &id, state),
                     StateResult::Failed(_) | StateResult::Unknown => {
                         self.read(sh, id, Then::Resubmit(req));
                     }
@@ -182,8 +295,7 @@
                 self.waiting -= 1;
                 match result {
                     StateResult::Done { revision } => {
-                        let rec = JobRecord { state: JobState::Cancelled, spec: None, tasks: 0 };
-                        sh.put_job(&id, rec, revision);
+                        sh.put_job(&id, JobRecord::withdrawn(0), revision);
                         answer_state(sh, req, 200, &id, JobState::Cancelled);
                     }
                     StateResult::Failed(_) | StateResult::Unknown => {
@@ -210,10 +322,21 @@
             sh.put_job(&id, rec, stamp);
             (state, stamp)
         });
+        // Another read of it may begin from here on.
+        let next = std::mem::take(&mut read.next);
+        if !next.is_empty() {
+            read.flying = next;
+            sh.state_call(Purpose::Door(DoorCall::Read { id: id.clone() }), StateOp::Get(job_key(&id)));
+            self.reads.insert(id.clone(), read);
+        }
         for w in waiters {
             match (w, found, &result) {
-                (Then::Status(req) | Then::Resubmit(req), Some((state, _)), _) => {
-                    answer_state(sh, req, 200, &id, state);
+                (Then::Status(req) | Then::Resubmit(req) | Then::Refuse(req, _), Some(f), _) => {
+                    if f.0 == JobState::Live {
+                        self.answer_live(sh, req, &id);
+                    } else {
+                        answer_state(sh, req, 200, &id, f.0);
+                    }
                 }
                 (Then::Cancel { req, tries }, Some((JobState::Live, stamp)), _) => {
                     self.write_cancel(sh, req, id.clone(), stamp, tries);
@@ -221,19 +344,42 @@
                 (Then::Cancel { req, .. }, Some((state, _)), _) => {
                     answer_state(sh, req, 200, &id, state);
                 }
+                (Then::Awaited(n), found, _) => {
+                    let Some(check) = self.checks.remove(&n) else { continue };
+                    self.on_awaited(sh, check, &id, found.is_some(), &result);
+                }
+                (Then::Refuse(req, no), None, StateResult::Missing) => {
+                    tracing::debug!(id, why = no.why, "submission refused");
+                    sh.refuse(req, no.status, &no.why, no.field);
+                }
                 (Then::Status(req) | Then::Cancel { req, .. }, None, StateResult::Missing) => {
                     sh.refuse(req, 404, "no such job", None);
                 }
                 // A submission whose write got lost is best tried again.
-                (Then::Status(req) | Then::Resubmit(req) | Then::Cancel { req, .. }, None, _) => {
+                (Then::Status(req) | Then::Resubmit(req) | Then::Refuse(req, _), None, _)
+                | (Then::Cancel { req, .. }, None, _) => {
                     sh.busy(req, "the state service does not answer now");
                 }
             }
         }
-        if !read.next.is_empty() {
-            read.flying = std::mem::take(&mut read.next);
-            sh.state_call(Purpose::Door(DoorCall::Read { id: id.clone() }), StateOp::Get(job_key(&id)));
-            self.reads.insert(id, read);
+    }
+
+    fn on_awaited(
+        &mut self,
+        sh: &mut Shared,
+        check: Check,
+        awaited: &str,
+        found: bool,
+        result: &StateResult,
+    ) {
+        match result {
+            _ if found => self.check_awaited(sh, check),
+            StateResult::Missing => {
+                let why = format!("awaits {awaited}, which was never accepted");
+                let no = Refusal { status: 422, why, field: Some("awaits") };
+                self.read(sh, check.id, Then::Refuse(check.req, no));
+            }
+            _ => sh.busy(check.req, "the state service does not answer now"),
         }
     }
 }
@@ -250,6 +396,39 @@
     sh.answer_json(req, status, &StatusBody { id, state, done, running });
 }
 
+/// Whether a submission that is not known can be accepted: what it awaits, or
+/// why not.
+fn check_new(
+    sh: &Shared,
+    id: &str,
+    spec: &Spec,
+    awaits: Result<Vec<String>, Invalid>,
+) -> Result<Vec<String>, Refusal> {
+    let no = |status, why: String, field| Err(Refusal { status, why, field });
+    let awaits = match awaits {
+        Ok(awaits) => awaits,
+        Err(e) => return no(400, format!("{} {}", e.field, e.why), Some(e.field)),
+    };
+    let size = |awaits: &[String]| {
+        let value = serde_json::to_value(JobRecord::live(spec.clone(), awaits)).unwrap_or_default();
+        // The time of acceptance is yet to come.
+        value.to_string().len() + 16
+    };
+    let most = sh.cfg.cluster.state.value_bytes();
+    if size(&awaits) > most {
+        let body = size(&[]) > most;
+        let field = if body { "body" } else { "awaits" };
+        return no(400, format!("{field} is too large to be kept"), Some(field));
+    }
+    if awaits.iter().any(|a| a == id) {
+        return no(422, "awaits the job itself".into(), Some("awaits"));
+    }
+    if let Err(why) = can_run(sh, spec) {
+        return no(422, why, None);
+    }
+    Ok(awaits)
+}
+
 /// Whether the job could ever run; if not, why.
 fn can_run(sh: &Shared, spec: &Spec) -> Result<(), String> {
     let Some(team) = sh.cfg.cluster.teams.iter().find(|t| t.name == spec.team) else {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -11,7 +11,7 @@
 use super::plan::take_from;
 use super::shared::{Pace, Shared};
 use super::{CloudOp, CloudResult};
-use crate::wire::cloud::{ListedMachine, RentRequest, ReturnRequest};
+use crate::wire::cloud::{ListedMachine, MachineType, RentRequest, ReturnRequest};
 use crate::wire::peer::{HaveMachine, Retire};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -140,7 +140,7 @@
     listed_once: bool,
     catalog_at: Ms,
     catalog_known: bool,
-    catalog_save: Option<serde_json::Value>,
+    catalog_save: Option<Vec<MachineType>>,
     tick_at: Ms,
     plan_at: Ms,
     save_busy: bool,
@@ -197,10 +197,10 @@
         self.save_busy = false;
     }
 
-    pub fn catalog_saved(&mut self, ok: bool) {
+    pub fn catalog_saved(&mut self, now: Ms, ok: bool) {
         if !ok {
             self.catalog_known = false;
-            self.catalog_at = 0;
+            self.catalog_at = now + 1_000;
         }
     }
 
@@ -611,8 +611,8 @@
     fn cloud_calls(&mut self, sh: &mut Shared) {
         let f = &mut self.fleet;
         let now = sh.now;
-        if let Some(value) = f.catalog_save.take() {
-            self.save_catalog(sh, value);
+        if let Some(types) = f.catalog_save.take() {
+            self.save_catalog(sh, types);
             return;
         }
         if now < f.trouble_until || !f.pace.has(now, 1.0) {
@@ -693,7 +693,7 @@
         let CloudResult::Catalog(c) = result else { return };
         self.fleet.catalog_known = true;
         self.fleet.catalog_at = sh.now;
-        let value = serde_json::to_value(&c.types).unwrap_or_default();
+        let types = c.types.clone();
         let new: Vec<super::model::MachineType> = c.types.into_iter().map(Into::into).collect();
         let same = new.len() == sh.types.len()
             && new.iter().zip(&sh.types).all(|(a, b)| {
@@ -703,7 +703,7 @@
             // Prices move all the time and matter to the leader alone.
             sh.types = super::model::merge_types(&sh.types, new);
         } else {
-            self.fleet.catalog_save = Some(value);
+            self.fleet.catalog_save = Some(types);
         }
     }
 
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -138,7 +138,7 @@
 
     /// Jobs with something to run, most pressing first.
     pub fn order(&mut self, sh: &Shared) -> Vec<u32> {
-        let mut by_age: Vec<(u64, u32)> = self.jobs.iter().map(|(ix, j)| (j.spec.at_ms, *ix)).collect();
+        let mut by_age: Vec<(u64, u32)> = self.jobs.iter().map(|(ix, j)| (j.ready_ms, *ix)).collect();
         by_age.sort_unstable();
         let mut sums = vec![Res::default(); sh.cfg.cluster.teams.len()];
         let mut within: HashMap<u32, bool> = HashMap::new();
@@ -162,8 +162,10 @@
             }
             let ratio = self.ratios.get(&j.spec.class).copied().unwrap_or(1.0);
             let run_s = j.spec.estimate_s * ratio;
-            let age_s = wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
-            let next = next_start(&sh.cfg.cluster.objectives, &j.spec, within[ix], run_s, age_s);
+            let age_s = wall.saturating_sub(j.ready_ms) as f64 / 1000.0;
+            let clock =
+                Clock { age_s, waited_s: j.ready_ms.saturating_sub(j.spec.at_ms) as f64 / 1000.0 };
+            let next = next_start(&sh.cfg.cluster.objectives, &j.spec, clock, within[ix], run_s);
             j.within = within[ix];
             let order = JobOrder {
                 priority: std::cmp::Reverse(j.spec.priority),
@@ -255,13 +257,13 @@
     /// start, and then on, whatever the burst.
     fn starving(&mut self, sh: &Shared, order: &[u32]) -> Vec<u32> {
         self.rounds += 1;
-        let age_s = |j: &LJob| sh.wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
+        let age_s = |j: &LJob| sh.wall.saturating_sub(j.ready_ms) as f64 / 1000.0;
         let served = self.served();
         let mut old: Vec<(u64, u32)> = order
             .iter()
             .filter_map(|ix| Some((self.jobs.get(ix)?, *ix)))
             .filter(|(j, _)| age_s(j) >= sh.op.starve_after_s)
-            .map(|(j, ix)| (j.spec.at_ms, ix))
+            .map(|(j, ix)| (j.ready_ms, ix))
             .collect();
         old.sort_unstable();
         let oldest = old.first().map(|(_, ix)| *ix).filter(|_| self.rounds.is_multiple_of(OLDEST_EVERY));
@@ -293,7 +295,7 @@
         }
         let served = self.served();
         let mut budget = MAX_STOPS;
-        let age_s = |j: &LJob| sh.wall.saturating_sub(j.spec.at_ms) as f64 / 1000.0;
+        let age_s = |j: &LJob| sh.wall.saturating_sub(j.ready_ms) as f64 / 1000.0;
         let old: Vec<u32> = left
             .iter()
             .filter(|(ix, _)| self.jobs.get(ix).is_some_and(|j| age_s(j) >= sh.op.preempt_after_s))
@@ -428,22 +430,30 @@
     r.free = Res::default();
 }
 
+/// A job's times, in seconds: since it could be started, and before that, while it
+/// waited for others. A deadline counts from the submission all the same.
+#[derive(Debug, Clone, Copy)]
+struct Clock {
+    age_s: f64,
+    waited_s: f64,
+}
+
 /// Seconds until the next aim for which the job can still be started in time;
 /// none when all are missed. Serving work that is late already before work
 /// that can still make it would only make both late.
 fn next_start(
     objectives: &[Objective],
     spec: &Spec,
+    clock: Clock,
     within: bool,
     run_s: f64,
-    age_s: f64,
 ) -> Option<f64> {
     let own = objectives.iter().filter(|o| o.class.as_ref().is_none_or(|c| *c == spec.class));
     let mut best: Option<f64> = None;
     let mut any = false;
     for o in own {
         let at = match o.kind.as_str() {
-            "deadline" => spec.deadline_s.map(|d| d * o.times.unwrap_or(1.0) - run_s),
+            "deadline" => spec.deadline_s.map(|d| d * o.times.unwrap_or(1.0) - clock.waited_s - run_s),
             "finished" => o.within_s.map(|w| w - run_s),
             "wait" => o.within_s,
             "guarantee" if within => o.within_s,
@@ -451,12 +461,12 @@
         };
         let Some(at) = at else { continue };
         any = true;
-        let left = at - age_s;
+        let left = at - clock.age_s;
         if left >= 0.0 && best.is_none_or(|b| left < b) {
             best = Some(left);
         }
     }
-    if any { best } else { Some(DUE_WITHOUT_AIM_S - age_s) }
+    if any { best } else { Some(DUE_WITHOUT_AIM_S - clock.age_s) }
 }
 
 /// How many more tasks the team's limit allows. A limit of 0 means none.
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -94,6 +94,8 @@
     pub team: String,
     /// The record that it is in, or shall be.
     pub shelf: u32,
+    /// The record that it is being copied to, out of one that is too long.
+    pub moving: Option<u32>,
     pub(super) st: St,
     /// Part of a transaction that was sent: may be in the record.
     pub tried: bool,
@@ -132,6 +134,8 @@
     pub row_kept: bool,
     /// The record that speaks of it, once there's something to say.
     pub shelf: Option<u32>,
+    /// A long record whose row on it stays until that one has it.
+    pub row_from: Option<u32>,
     pub attempts: Vec<Attempt>,
     pub(super) images: Vec<(String, f64)>,
     pub(super) overloaded: bool,
@@ -192,6 +196,11 @@
         }
     }
 
+    /// Its record has to speak of it though nothing may be on it.
+    pub fn has_state(&self) -> bool {
+        self.isolated || self.returning_written
+    }
+
     /// Its return may be recorded: nothing is on it any more.
     pub fn can_retire(&self) -> bool {
         self.retire
@@ -336,6 +345,7 @@
             isolated_written: false,
             row_kept: false,
             shelf: None,
+            row_from: None,
             attempts: Vec::new(),
             images: Vec::new(),
             overloaded: false,
@@ -362,7 +372,7 @@
             while h.shelves.len() <= number as usize {
                 h.shelves.push(Shelf::new(0, 0));
             }
-            h.shelves[number as usize] = Shelf::new(item.version, bytes);
+            h.shelves[number as usize] = Shelf::read(sh, item.version, bytes);
         }
         for row in &rec.machines {
             let ix = self.machine_put(&row.0);
@@ -384,7 +394,17 @@
             // What its report told meanwhile stays; and the record may be read
             // a second time.
             m.attempts.retain(|a| a.shelf != number);
-            m.attempts.extend(inherited(sh, &rec, row, number));
+            for new in inherited(sh, &rec, row, number) {
+                // On two records, if a holder was lost while it moved it.
+                let Some(old) = m.attempts.iter_mut().find(|a| a.id == new.id) else {
+                    m.attempts.push(new);
+                    continue;
+                };
+                if let Some(h) = &mut self.blocks[block as usize] {
+                    shelves::mark_stale(h, [old.shelf], sh.now);
+                }
+                (old.shelf, old.moving) = (number, None);
+            }
             self.machines[ix as usize] = Some(m);
         }
     }
@@ -544,6 +564,7 @@
             need,
             team: spec.team.clone(),
             shelf,
+            moving: None,
             st: St::Bound,
             tried: false,
             written: false,
@@ -638,6 +659,7 @@
             need: Res { cpus: j.2, gpus: j.3, mem: j.4 },
             team: j.1.clone(),
             shelf,
+            moving: None,
             st: St::Inherited,
             tried: true,
             written: true,
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -8,10 +8,12 @@
 use super::fleet::Fleet;
 use super::forecast::History;
 use super::model::{Ms, Res, Spec, TaskSet};
-use super::progress::{CHUNK_WORDS, progress_key};
+use super::pipelines::Cascade;
+use super::progress::{Chunk, Trash};
 use super::shared::Shared;
-use super::sync::{CATALOG, LEADER, block_key};
+use super::sync::{LEADER, block_key, catalog_key};
 use super::{CloudResult, Purpose, StateOp, StateResult};
+use crate::wire::cloud;
 use crate::wire::peer::{Body, Have, HaveJob, HaveState, HaveTask, Want, WantJob};
 use crate::wire::state::{
     BlockRecord, Change, Cond, JobRecord, JobState, ShelfMachine, ShelfRecord, Txn,
@@ -42,8 +44,9 @@
     Fleet,
     Block { block: u32 },
     Record { items: Vec<(u32, Vec<u32>)> },
-    Finish { job: u32 },
-    Forget,
+    Finish { job: u32, done_ms: u64, dropped: Vec<Chunk> },
+    Forget { keys: Vec<String> },
+    Withdraw { list: Vec<u32> },
     SaveFleet,
     SaveCatalog,
 }
@@ -71,7 +74,8 @@
     /// Done but not yet in a record.
     pub(super) unrecorded: Vec<u32>,
     pub(super) recording: bool,
-    pub(super) chunks: BTreeSet<u32>,
+    /// Records of its progress.
+    pub(super) chunks: BTreeSet<Chunk>,
     /// Tasks with an attempt, or waiting in `retry`.
     pub issued: TaskSet,
     pub(super) next: u32,
@@ -82,12 +86,33 @@
     pub hold_until: Ms,
     /// Within its team's guarantee, with the team's earlier jobs.
     pub within: bool,
+    /// Time of day since when it could be started.
+    pub ready_ms: u64,
     pub(super) finish_busy: bool,
     pub(super) finish_at: Ms,
 }
 
+/// Machine types in as few records as the limit allows.
+fn split_catalog(types: &[cloud::MachineType], limit: usize) -> Vec<serde_json::Value> {
+    let mut out: Vec<Vec<serde_json::Value>> = vec![Vec::new()];
+    let mut bytes = 2;
+    for t in types {
+        let value = serde_json::to_value(t).unwrap_or_default();
+        let more = value.to_string().len() + 1;
+        if bytes + more > limit && bytes > 2 {
+            out.push(Vec::new());
+            bytes = 2;
+        }
+        bytes += more;
+        if let Some(last) = out.last_mut() {
+            last.push(value);
+        }
+    }
+    out.into_iter().map(serde_json::Value::Array).collect()
+}
+
 impl LJob {
-    fn new(spec: Arc<Spec>, team: usize) -> LJob {
+    fn new(spec: Arc<Spec>, team: usize, ready_ms: u64) -> LJob {
         let n = spec.tasks;
         LJob {
             team,
@@ -103,6 +128,7 @@
             failed_on: HashSet::new(),
             hold_until: 0,
             within: false,
+            ready_ms,
             finish_busy: false,
             finish_at: 0,
             spec,
@@ -214,7 +240,12 @@
     pub(super) record_at: Ms,
     counts_at: Ms,
     /// Progress read before its job was known.
-    progress: HashMap<String, Vec<(u32, String)>>,
+    progress: HashMap<String, Vec<(Chunk, String)>>,
+    /// Records of progress that nobody needs any more.
+    pub(super) trash: Trash,
+    /// The state service has shown that it takes no more than the next limits.
+    pub(super) fine: bool,
+    pub(super) cascade: Cascade,
 }
 
 impl Leader {
@@ -255,6 +286,9 @@
             record_at: 0,
             counts_at: 0,
             progress: HashMap::new(),
+            trash: Trash::default(),
+            fine: false,
+            cascade: Cascade::default(),
         }
     }
 
@@ -277,6 +311,7 @@
         }
         self.poll_at = sh.now + POLL_GAP_MS;
         self.follow_jobs(sh);
+        self.withdraw_due(sh);
         self.fleet_poll(sh);
         // What a round costs grows with what it has to look at.
         let gap = if self.round_due {
@@ -395,11 +430,10 @@
                             Err(e) => tracing::error!(key = item.key, %e, "unreadable record"),
                         }
                     } else {
-                        let mut parts = item.key.split('/').skip(1);
-                        let (Some(id), Some(chunk)) = (parts.next(), parts.next()) else { continue };
-                        let (Ok(chunk), Some(bits)) = (chunk.parse(), item.value.as_str()) else {
-                            continue;
-                        };
+                        let Some((id, chunk)) = Chunk::of_key(&item.key) else { continue };
+                        let Some(bits) = item.value.as_str() else { continue };
+                        // Only ever written once the smaller limits were met.
+                        self.fine |= chunk.is_fine();
                         let list = self.progress.entry(id.to_string()).or_default();
                         list.push((chunk, bits.to_string()));
                     }
@@ -456,22 +490,19 @@
                     self.blocks[a.block as usize].dirty = true;
                 }
             }
-            // The bits of a cancelled job are of no use to anyone.
-            let mut chunks: BTreeSet<u32> = known.map(|j| j.chunks).unwrap_or_default();
+            // The bits of a final job are of no use to anyone. A job of many
+            // tasks has more of them than go along with its last record.
+            let mut chunks: BTreeSet<Chunk> = known.map(|j| j.chunks).unwrap_or_default();
             chunks.extend(left.into_iter().flatten().map(|(c, _)| c));
-            if job.state == JobState::Cancelled && !chunks.is_empty() {
-                let txn = Txn {
-                    conds: vec![self.leader_cond()],
-                    changes: chunks
-                        .iter()
-                        .map(|c| Change::Delete { key: progress_key(&id, *c) })
-                        .collect(),
-                };
-                sh.state_call(Purpose::Leader(LeaderCall::Forget), StateOp::Txn(txn));
-            }
+            self.trash.extend(chunks.into_iter().map(|c| c.key(&id)));
             return;
         }
-        if self.jobs.contains_key(&ix) {
+        if job.links.doomed {
+            return self.withdraw_later(ix);
+        }
+        // Not all that it awaits is on record as done: it takes no part in
+        // anything, and no task of it may start. Once all is, that is final.
+        if job.links.open > 0 || self.jobs.contains_key(&ix) {
             return;
         }
         let Some(spec) = job.spec.clone() else { return };
@@ -479,10 +510,10 @@
             tracing::error!(id, "accepted job of an unknown team");
             return;
         };
-        let mut j = LJob::new(spec, team);
+        let mut j = LJob::new(spec, team, sh.ready_ms(ix));
         for (chunk, bits) in self.progress.remove(&id).unwrap_or_default() {
-            j.done.add_hex(chunk as usize * CHUNK_WORDS, &bits);
-            j.recorded.add_hex(chunk as usize * CHUNK_WORDS, &bits);
+            j.done.add_hex(chunk.first_word(), &bits);
+            j.recorded.add_hex(chunk.first_word(), &bits);
             j.chunks.insert(chunk);
         }
         self.jobs.insert(ix, j);
@@ -850,6 +881,7 @@
             }
             LeaderCall::Record { items } => {
                 let ok = matches!(result, StateResult::Done { .. });
+                self.fine |= matches!(result, StateResult::Bad);
                 for (ix, tasks) in items {
                     let Some(j) = self.jobs.get_mut(&ix) else { continue };
                     j.recording = false;
@@ -867,23 +899,31 @@
                 if !ok {
                     self.record_at = sh.now + sh.jitter(250);
                 }
+                if matches!(result, StateResult::Bad) {
+                    // In parts it fits; a no for anything else is not asked for
+                    // at every turn.
+                    self.record_at = sh.now + 1_000;
+                }
             }
-            LeaderCall::Finish { job } => {
+            LeaderCall::Finish { job, done_ms, dropped } => {
                 if let StateResult::Done { revision } = result {
-                    let tasks = self.jobs.get(&job).map_or(0, |j| j.spec.tasks);
+                    if let Some(j) = self.jobs.get_mut(&job) {
+                        j.chunks.retain(|c| !dropped.contains(c));
+                    }
                     let id = sh.job_names.name(job).clone();
-                    sh.put_job(&id, JobRecord { state: JobState::Done, spec: None, tasks }, revision);
-                    sh.jobs[job as usize].tasks = tasks;
+                    sh.put_job(&id, JobRecord::done(0, done_ms), revision);
                 } else if let Some(j) = self.jobs.get_mut(&job) {
                     j.finish_busy = false;
                     j.finish_at = sh.now + sh.jitter(250);
                 }
             }
+            LeaderCall::Withdraw { list } => self.on_withdrawn(sh, list, result),
             LeaderCall::SaveFleet => self.fleet.saved(matches!(result, StateResult::Done { .. })),
             LeaderCall::SaveCatalog => {
-                self.fleet.catalog_saved(matches!(result, StateResult::Done { .. }));
+                self.fine |= matches!(result, StateResult::Bad);
+                self.fleet.catalog_saved(sh.now, matches!(result, StateResult::Done { .. }));
             }
-            LeaderCall::Forget => {}
+            LeaderCall::Forget { keys } => self.on_forgotten(sh, keys, result),
         }
     }
 
@@ -891,19 +931,32 @@
         self.fleet_result(sh, call, result);
     }
 
-    pub fn save_catalog(&mut self, sh: &mut Shared, value: serde_json::Value) {
-        let txn = Txn {
-            conds: vec![self.leader_cond()],
-            changes: vec![Change::Put { key: CATALOG.into(), value, lease: None }],
-        };
-        sh.state_call(Purpose::Leader(LeaderCall::SaveCatalog), StateOp::Txn(txn));
+    /// The machine types, for every door. In several records only where one would
+    /// be too long: the version before reads the first alone.
+    pub fn save_catalog(&mut self, sh: &mut Shared, types: Vec<cloud::MachineType>) {
+        let state = &sh.cfg.cluster.state;
+        let limit = if self.fine { state.value_kb } else { state.today_kb };
+        let records = split_catalog(&types, (limit * 1024.0) as usize);
+        let changes: Vec<Change> = records
+            .into_iter()
+            .enumerate()
+            .map(|(n, value)| Change::Put { key: catalog_key(n), value, lease: None })
+            .collect();
+        for some in changes.chunks(state.txn_ops.min(8)) {
+            let txn = Txn { conds: vec![self.leader_cond()], changes: some.to_vec() };
+            sh.state_call(Purpose::Leader(LeaderCall::SaveCatalog), StateOp::Txn(txn));
+        }
     }
 
     pub fn save_fleet(&mut self, sh: &mut Shared, mut rec: FleetRecord) {
         // Many kinds of machines, or hundreds of each, make the history long; a
         // record past the limit would be rejected window after window.
-        let limit = (sh.cfg.cluster.state.value_kb * 1024.0) as usize;
-        while serde_json::to_string(&rec).map_or(0, |s| s.len()) > limit && rec.history.shorten() {}
+        let limit = sh.cfg.cluster.state.value_bytes();
+        let too_long = |rec: &FleetRecord| serde_json::to_string(rec).map_or(0, |s| s.len()) > limit;
+        while too_long(&rec) && rec.history.shorten() {}
+        // Users name classes as they like; learned run times are the least loss.
+        while too_long(&rec) && rec.ratios.pop_last().is_some() {}
+        while too_long(&rec) && rec.counts.pop_last().is_some() {}
         let txn = Txn {
             conds: vec![self.leader_cond()],
             changes: vec![Change::Put {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod leader;
 pub mod model;
 pub mod picture;
+pub mod pipelines;
 pub mod plan;
 pub mod progress;
 pub mod shared;
@@ -239,8 +240,10 @@
             self.follow_term();
             self.door.poll(&mut self.sh);
             self.holder.poll(&mut self.sh);
-            if let Some(l) = &mut self.leader {
-                l.poll(&mut self.sh);
+            match &mut self.leader {
+                Some(l) => l.poll(&mut self.sh),
+                // Only a leader follows each change; a new one looks at all.
+                None => self.sh.jobs_changed.clear(),
             }
             // Frames to ourselves go round inside.
             let local = std::mem::take(&mut self.sh.local);
--- /dev/null
+++ b/src/core/pipelines.rs
@@ -0,0 +1,159 @@
+//! Pipelines: jobs that await others.
+//!
+//! Which job awaits which stands in the records, and every node keeps it beside
+//! the watched jobs, updated along the links with each change and never by a
+//! look at all jobs. Two questions are answered from it:
+//!
+//! - May the job run? Only once everything it awaits is *on record* as done. Done
+//!   is final, so the leader's first grant needs no further condition: what was
+//!   true when it looked stays true, whoever leads by then.
+//! - Is it withdrawn? A live job with a withdrawn one before it, directly or
+//!   through others, is to be withdrawn: a rule on states, not on events, so
+//!   that it holds for a submission that races with the cancellation, and after
+//!   any change of leader or restart. Such a job never had a task, as not all
+//!   that it awaits is done, nor ever will be.
+//!
+//! The leader writes these withdrawals step by step; a door that is asked about
+//! such a job first has it written, so that no node calls it live again.
+
+use super::leader::{Leader, LeaderCall};
+use super::model::Ms;
+use super::shared::Shared;
+use super::sync::job_key;
+use super::{Purpose, StateOp, StateResult};
+use crate::wire::state::{Change, Cond, JobRecord, JobState, Txn};
+use std::collections::BTreeSet;
+
+/// A job's place among others.
+#[derive(Debug, Default)]
+pub struct Links {
+    /// What it awaits.
+    pub before: Vec<u32>,
+    /// Live jobs that await it.
+    pub after: Vec<u32>,
+    /// Of what it awaits, so many are not on record as done.
+    pub open: u32,
+    /// One before it is withdrawn, and so will it be.
+    pub doomed: bool,
+    /// Time of day at which it was done, as its record says.
+    pub done_ms: u64,
+}
+
+impl Shared {
+    /// Ties a live job, seen for the first time, to what it awaits.
+    pub(super) fn link(&mut self, ix: u32, awaits: &[String]) {
+        let mut doomed = false;
+        for id in awaits {
+            let p = self.job_slot(id);
+            let before = &mut self.jobs[p as usize];
+            doomed |= before.state == JobState::Cancelled || before.links.doomed;
+            let done = before.stamp > 0 && before.state == JobState::Done;
+            if before.state == JobState::Live {
+                before.links.after.push(ix);
+            }
+            let links = &mut self.jobs[ix as usize].links;
+            links.before.push(p);
+            links.open += u32::from(!done);
+        }
+        if doomed {
+            self.doom(ix);
+        }
+    }
+
+    /// What a job's end means to those that await it.
+    pub(super) fn pass_on(&mut self, ix: u32) {
+        let job = &mut self.jobs[ix as usize];
+        if job.state == JobState::Live {
+            return;
+        }
+        let done = job.state == JobState::Done;
+        let after = std::mem::take(&mut job.links.after);
+        job.links.before = Vec::new();
+        for a in after {
+            if !done {
+                self.doom(a);
+                continue;
+            }
+            let links = &mut self.jobs[a as usize].links;
+            links.open = links.open.saturating_sub(1);
+            if links.open == 0 {
+                self.jobs_changed.push(a);
+            }
+        }
+    }
+
+    fn doom(&mut self, ix: u32) {
+        let mut list = vec![ix];
+        while let Some(ix) = list.pop() {
+            let job = &mut self.jobs[ix as usize];
+            if !job.links.doomed && job.state == JobState::Live {
+                job.links.doomed = true;
+                list.extend(&job.links.after);
+                self.jobs_changed.push(ix);
+            }
+        }
+    }
+
+    /// Time of day since when the job could have been started: its acceptance,
+    /// or the end of the last that it awaits. All from records, so that every
+    /// leader counts from the same moment.
+    pub fn ready_ms(&self, ix: u32) -> u64 {
+        let job = self.job(ix);
+        let own = job.spec.as_ref().map_or(0, |s| s.at_ms);
+        let ends = job.links.before.iter().map(|p| self.job(*p).links.done_ms);
+        ends.fold(own, u64::max)
+    }
+}
+
+/// Withdrawals that the leader has still to write.
+#[derive(Debug, Default)]
+pub struct Cascade {
+    due: BTreeSet<u32>,
+    busy: bool,
+    retry_at: Ms,
+}
+
+impl Leader {
+    /// Notes that a live job is to be withdrawn.
+    pub(super) fn withdraw_later(&mut self, ix: u32) {
+        self.cascade.due.insert(ix);
+    }
+
+    /// Writes withdrawals, as many at once as a transaction takes. The rule's
+    /// time runs, so they go before all other writes of the leader.
+    pub(super) fn withdraw_due(&mut self, sh: &mut Shared) {
+        let c = &mut self.cascade;
+        c.due.retain(|ix| sh.job(*ix).state == JobState::Live);
+        if c.busy || c.due.is_empty() || sh.now < c.retry_at {
+            return;
+        }
+        let list: Vec<u32> = c.due.iter().copied().take(sh.cfg.cluster.state.txn_ops).collect();
+        if !sh.can_write(list.len()) {
+            return;
+        }
+        c.busy = true;
+        let mut txn = Txn { conds: vec![self.leader_cond()], changes: Vec::new() };
+        for ix in &list {
+            let key = job_key(sh.job_names.name(*ix));
+            let job = sh.job(*ix);
+            let value = serde_json::to_value(JobRecord::withdrawn(job.tasks)).unwrap_or_default();
+            txn.conds.push(Cond { key: key.clone(), version: job.stamp });
+            txn.changes.push(Change::Put { key, value, lease: None });
+        }
+        sh.state_call(Purpose::Leader(LeaderCall::Withdraw { list }), StateOp::Txn(txn));
+    }
+
+    pub(super) fn on_withdrawn(&mut self, sh: &mut Shared, list: Vec<u32>, result: StateResult) {
+        self.cascade.busy = false;
+        if let StateResult::Done { revision } = result {
+            for ix in list {
+                let id = sh.job_names.name(ix).clone();
+                sh.put_job(&id, JobRecord::withdrawn(0), revision);
+            }
+        } else {
+            // One that its own user, or a door, has withdrawn meanwhile spoils
+            // the batch until the watch tells; the others go without it then.
+            self.cascade.retry_at = sh.now + sh.jitter(150);
+        }
+    }
+}
--- a/src/core/progress.rs
+++ b/src/core/progress.rs
@@ -5,16 +5,81 @@
 use super::model::Ms;
 use super::shared::Shared;
 use super::sync::job_key;
-use super::{Purpose, StateOp};
+use super::{Purpose, StateOp, StateResult};
 use crate::wire::peer::HaveState;
-use crate::wire::state::{Change, Cond, JobRecord, JobState, Txn};
-use std::collections::BTreeSet;
+use crate::wire::state::{Change, Cond, JobRecord, Txn};
+use std::collections::{BTreeSet, VecDeque};
 
-/// Tasks per progress record: 4 KiB of hexadecimal digits.
+/// Tasks per record: up to 4 KiB of hexadecimal digits.
 const CHUNK: u32 = 16_384;
-pub const CHUNK_WORDS: usize = (CHUNK / 64) as usize;
+/// Tasks per record where less fits: half a KiB, below any limit that the
+/// settings take.
+const FINE: u32 = 2_048;
 const RECORD_GAP_MS: Ms = 150;
 
+/// One record of a job's progress: `progress/<id>/<n>`, or a part of that,
+/// `progress/<id>/<n>.<part>`.
+///
+/// The version before smaller limits reads whole chunks only. So parts are
+/// written only once the state service has refused a whole one, which shows that
+/// its limits have fallen, and that comes after the last old process is gone.
+/// Both are read always; bits only ever grow, so that both together are right.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Chunk {
+    number: u32,
+    part: Option<u32>,
+}
+
+impl Chunk {
+    fn of(task: u32, parts: bool) -> Chunk {
+        Chunk { number: task / CHUNK, part: parts.then_some(task % CHUNK / FINE) }
+    }
+
+    pub fn is_fine(self) -> bool {
+        self.part.is_some()
+    }
+
+    pub fn first_word(self) -> usize {
+        ((self.number * CHUNK + self.part.unwrap_or(0) * FINE) / 64) as usize
+    }
+
+    fn words(self) -> usize {
+        if self.is_fine() { (FINE / 64) as usize } else { (CHUNK / 64) as usize }
+    }
+
+    pub fn key(self, id: &str) -> String {
+        match self.part {
+            None => format!("progress/{id}/{}", self.number),
+            Some(p) => format!("progress/{id}/{}.{p}", self.number),
+        }
+    }
+
+    /// The job's id and the chunk that a key speaks of; none: it is not ours.
+    pub fn of_key(key: &str) -> Option<(&str, Chunk)> {
+        let (id, chunk) = key.strip_prefix("progress/")?.split_once('/')?;
+        let (number, part) = match chunk.split_once('.') {
+            Some((n, p)) => (n, Some(p.parse().ok().filter(|p| *p < CHUNK / FINE)?)),
+            None => (chunk, None),
+        };
+        let number = number.parse().ok().filter(|n| *n < u32::MAX / CHUNK)?;
+        Some((id, Chunk { number, part }))
+    }
+}
+
+/// Records to be removed, a transaction's worth at a time.
+#[derive(Debug, Default)]
+pub struct Trash {
+    keys: VecDeque<String>,
+    busy: bool,
+    retry_at: Ms,
+}
+
+impl Trash {
+    pub fn extend(&mut self, keys: impl Iterator<Item = String>) {
+        self.keys.extend(keys);
+    }
+}
+
 impl Leader {
     pub(super) fn record(&mut self, sh: &mut Shared) {
         let now = sh.now;
@@ -39,15 +104,16 @@
             if j.unrecorded.is_empty() || j.recording || j.done.len() == j.spec.tasks {
                 continue;
             }
-            let chunks: BTreeSet<u32> = j.unrecorded.iter().map(|t| t / CHUNK).collect();
+            let parts = in_parts(sh, j.spec.tasks, self.fine);
+            let chunks: BTreeSet<Chunk> = j.unrecorded.iter().map(|t| Chunk::of(*t, parts)).collect();
             if txn.changes.len() + chunks.len() > max_ops {
                 if !items.is_empty() {
                     break;
                 }
                 // One job alone passes the limit: take what fits.
-                let few: BTreeSet<u32> = chunks.iter().copied().take(max_ops).collect();
+                let few: BTreeSet<Chunk> = chunks.iter().copied().take(max_ops).collect();
                 let (now, later): (Vec<u32>, Vec<u32>) =
-                    j.unrecorded.iter().partition(|t| few.contains(&(**t / CHUNK)));
+                    j.unrecorded.iter().partition(|t| few.contains(&Chunk::of(**t, parts)));
                 j.unrecorded = later;
                 push_chunks(sh, *ix, j, &few, &mut txn);
                 items.push((*ix, now));
@@ -57,7 +123,7 @@
             items.push((*ix, std::mem::take(&mut j.unrecorded)));
         }
         if items.is_empty() {
-            return;
+            return self.empty_trash(sh);
         }
         self.record_at = now;
         sh.state_call(Purpose::Leader(LeaderCall::Record { items }), StateOp::Txn(txn));
@@ -67,19 +133,46 @@
         let Some(j) = self.jobs.get(&ix) else { return };
         let id = sh.job_names.name(ix).clone();
         let key = job_key(&id);
-        let rec = JobRecord { state: JobState::Done, spec: None, tasks: j.spec.tasks };
+        let rec = JobRecord::done(j.spec.tasks, sh.wall);
         let mut changes = vec![Change::Put {
             key: key.clone(),
             value: serde_json::to_value(rec).unwrap_or_default(),
             lease: None,
         }];
-        let most = sh.cfg.cluster.state.txn_ops - 1;
-        for c in j.chunks.iter().take(most) {
-            changes.push(Change::Delete { key: progress_key(&id, *c) });
-        }
+        // What does not go along here goes later.
+        let dropped: Vec<Chunk> =
+            j.chunks.iter().copied().take(sh.cfg.cluster.state.txn_ops - 1).collect();
+        changes.extend(dropped.iter().map(|c| Change::Delete { key: c.key(&id) }));
         let stamp = sh.job(ix).stamp;
         let txn = Txn { conds: vec![self.leader_cond(), Cond { key, version: stamp }], changes };
-        sh.state_call(Purpose::Leader(LeaderCall::Finish { job: ix }), StateOp::Txn(txn));
+        let call = LeaderCall::Finish { job: ix, done_ms: sh.wall, dropped };
+        sh.state_call(Purpose::Leader(call), StateOp::Txn(txn));
+    }
+
+    /// Removes records of jobs that are final, when nothing else is to write.
+    fn empty_trash(&mut self, sh: &mut Shared) {
+        let t = &mut self.trash;
+        if t.busy || t.keys.is_empty() || sh.now < t.retry_at {
+            return;
+        }
+        let n = t.keys.len().min(sh.cfg.cluster.state.txn_ops);
+        if !sh.can_write(n) {
+            return;
+        }
+        t.busy = true;
+        let keys: Vec<String> = t.keys.drain(..n).collect();
+        let changes = keys.iter().map(|k| Change::Delete { key: k.clone() }).collect();
+        let txn = Txn { conds: vec![self.leader_cond()], changes };
+        self.record_at = sh.now;
+        sh.state_call(Purpose::Leader(LeaderCall::Forget { keys }), StateOp::Txn(txn));
+    }
+
+    pub(super) fn on_forgotten(&mut self, sh: &mut Shared, keys: Vec<String>, result: StateResult) {
+        self.trash.busy = false;
+        if matches!(result, StateResult::NotExecuted | StateResult::Unknown) {
+            self.trash.keys.extend(keys);
+            self.trash.retry_at = sh.now + sh.jitter(500);
+        }
     }
 
     /// Attempts whose success is recorded may be cleared from the machines.
@@ -95,20 +188,24 @@
     }
 }
 
-fn push_chunks(sh: &Shared, ix: u32, j: &mut LJob, chunks: &BTreeSet<u32>, txn: &mut Txn) {
+/// Whether a job's progress has to be recorded in parts: a whole chunk may pass
+/// the limit, today's or the next once that one is in force.
+fn in_parts(sh: &Shared, tasks: u32, fine: bool) -> bool {
+    let text = tasks.min(CHUNK).div_ceil(4) as usize + 2;
+    let state = &sh.cfg.cluster.state;
+    text > state.value_bytes() && (fine || text as f64 > state.today_kb * 1024.0)
+}
+
+fn push_chunks(sh: &Shared, ix: u32, j: &mut LJob, chunks: &BTreeSet<Chunk>, txn: &mut Txn) {
     j.recording = true;
     let id = sh.job_names.name(ix);
     for c in chunks {
-        let from = *c as usize * CHUNK_WORDS;
+        let from = c.first_word();
         txn.changes.push(Change::Put {
-            key: progress_key(id, *c),
-            value: serde_json::Value::String(j.done.to_hex(from, from + CHUNK_WORDS)),
+            key: c.key(id),
+            value: serde_json::Value::String(j.done.to_hex(from, from + c.words())),
             lease: None,
         });
         j.chunks.insert(*c);
     }
 }
-
-pub fn progress_key(id: &str, chunk: u32) -> String {
-    format!("progress/{id}/{chunk}")
-}
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -2,6 +2,7 @@
 //! the calls on their way and the things to put out.
 
 use super::model::{Block, MachineType, Ms, Names, Spec, block_of, blocks_of};
+use super::pipelines::Links;
 use super::{Answer, CloudOp, Output, Purpose, StateOp, StateResult};
 use crate::config::{Operator, Platform};
 use crate::wire::peer::{Beat, Body, Frame};
@@ -26,9 +27,11 @@
     pub state: JobState,
     /// Gone some time after the job is final.
     pub spec: Option<Arc<Spec>>,
+    /// 0: no record seen yet, but another job awaits it.
     pub stamp: u64,
     pub tasks: u32,
     pub final_at: Ms,
+    pub links: Links,
 }
 
 /// How another node looks from here.
@@ -100,7 +103,7 @@
     /// Types that live work depends on, as it fits no other.
     pub scarce: HashSet<usize>,
     scarce_at: Ms,
-    pub catalog_stamp: u64,
+    pub catalog_stamps: HashMap<String, u64>,
 
     /// All records have been read at least once.
     pub synced: bool,
@@ -153,7 +156,7 @@
             types: Vec::new(),
             scarce: HashSet::new(),
             scarce_at: 0,
-            catalog_stamp: 0,
+            catalog_stamps: HashMap::new(),
             synced: false,
             proof_at: None,
             state_ok_at: now,
@@ -391,35 +394,52 @@
         &self.jobs[ix as usize]
     }
 
+    /// The job's index, once a record of it has been seen.
     pub fn job_ix(&self, id: &str) -> Option<u32> {
-        self.job_names.get(id)
+        self.job_names.get(id).filter(|ix| self.jobs[*ix as usize].stamp > 0)
     }
 
-    /// Takes in a job's record as read or watched. Older ones are ignored:
-    /// reads and watch events cross each other.
-    pub fn put_job(&mut self, id: &str, rec: JobRecord, stamp: u64) {
+    /// The job's place, with or without a record.
+    pub(super) fn job_slot(&mut self, id: &str) -> u32 {
         let ix = self.job_names.put(&id.to_string());
-        let now = self.now;
         if ix as usize == self.jobs.len() {
             self.jobs.push(Job {
-                state: rec.state,
-                spec: rec.spec.map(Arc::new),
-                stamp,
-                tasks: rec.tasks,
-                final_at: now,
+                state: JobState::Live,
+                spec: None,
+                stamp: 0,
+                tasks: 0,
+                final_at: self.now,
+                links: Links::default(),
             });
-        } else {
-            let job = &mut self.jobs[ix as usize];
-            if stamp <= job.stamp || job.state != JobState::Live {
-                return;
-            }
-            job.stamp = stamp;
-            job.state = rec.state;
-            job.final_at = now;
-            if let Some(s) = rec.spec {
-                job.spec = Some(Arc::new(s));
-            }
         }
+        ix
+    }
+
+    /// Takes in a job's record as read or watched. Older ones are ignored:
+    /// reads and watch events cross each other.
+    pub fn put_job(&mut self, id: &str, rec: JobRecord, stamp: u64) {
+        let ix = self.job_slot(id);
+        let now = self.now;
+        let job = &mut self.jobs[ix as usize];
+        let first = job.stamp == 0;
+        if stamp <= job.stamp || !first && job.state != JobState::Live {
+            return;
+        }
+        job.stamp = stamp;
+        job.state = rec.state;
+        job.final_at = now;
+        job.links.done_ms = rec.done_ms;
+        if first {
+            job.tasks = rec.tasks;
+        }
+        let (spec, awaits) = rec.into_parts();
+        if let Some(s) = spec {
+            job.spec = Some(Arc::new(s));
+        }
+        if first {
+            self.link(ix, &awaits);
+        }
+        self.pass_on(ix);
         self.jobs_changed.push(ix);
     }
 
--- a/src/core/shelves.rs
+++ b/src/core/shelves.rs
@@ -8,6 +8,12 @@
 //! that a machine may have attempts on several. The gap between
 //! two writes of a shelf widens with the number of shelves, so that all
 //! holders together keep within the service's rate.
+//!
+//! A record may be longer than the service takes by now: its limits have fallen,
+//! or are about to, and a holder of the version before wrote it. Such a record
+//! is still read but can't be written again, so what is too much is copied to
+//! other shelves first, and only once it stands there the long one shrinks.
+//! No attempt is ever on no record, and a reader takes repeats as one.
 
 use super::holder::{Attempt, HeldBlock, HolderCall, Load, Machine};
 use super::model::Ms;
@@ -48,6 +54,8 @@
     /// At most so many bytes long, with all that waits to be written.
     bytes: usize,
     jobs: HashSet<u32>,
+    /// Its record was read, and is longer than a write may be.
+    long: bool,
 }
 
 impl Shelf {
@@ -60,8 +68,14 @@
             stale: None,
             bytes: RECORD_SLACK + bytes,
             jobs: HashSet::new(),
+            long: false,
         }
     }
+
+    /// As read, under the limit that holds for writes.
+    pub fn read(sh: &Shared, stamp: u64, bytes: usize) -> Shelf {
+        Shelf { long: bytes > limit(sh), ..Shelf::new(stamp, bytes) }
+    }
 }
 
 /// One write under way.
@@ -72,11 +86,13 @@
     grant: u64,
     /// Attempts whose `run` may go out once this is on record.
     attempts: HashSet<u64>,
+    /// Copied from longer records.
+    moved: HashSet<u64>,
     flags: HashMap<u32, u8>,
 }
 
 fn limit(sh: &Shared) -> usize {
-    (sh.cfg.cluster.state.value_kb * 1024.0) as usize
+    sh.cfg.cluster.state.value_bytes()
 }
 
 /// Upper bounds of what each part adds to a record.
@@ -125,7 +141,7 @@
 /// row: hundreds of machines may be isolated or returned at once, and a record
 /// that passed the limit would be rejected for ever, with all that is on it.
 fn home(sh: &Shared, h: &mut HeldBlock, m: &mut Machine) -> u32 {
-    if let Some(s) = m.shelf {
+    if let Some(s) = m.shelf.filter(|s| !h.shelves.get(*s as usize).is_some_and(|s| s.long)) {
         let busy = h.shelves.get(s as usize).is_some_and(|s| s.write != Write::Idle);
         let row = m.row_kept || m.isolated_written || m.returning_written;
         if busy || row || m.attempts.iter().any(|a| a.shelf == s) {
@@ -142,10 +158,72 @@
     });
     h.shelves[s as usize].bytes += row;
     m.row_kept = true;
+    if m.shelf != Some(s) && (m.isolated_written || m.returning_written) {
+        m.row_from = m.shelf;
+    }
     m.shelf = Some(s);
     s
 }
 
+/// Finds new places for what a long record holds too much of: attempts and rows
+/// of machines, in whole machines. What stays leaves room for a write.
+fn spread_out(sh: &Shared, h: &mut HeldBlock, machines: &mut [Option<Machine>], block: u32, shelf: u32) {
+    let most = limit(sh) * 9 / 10;
+    let mut bytes = HEAD_BYTES;
+    let mut jobs: HashSet<u32> = HashSet::new();
+    for m in machines.iter_mut().flatten().filter(|m| m.block == block) {
+        let row = m.shelf == Some(shelf) && (m.isolated || m.returning_written);
+        let here = |a: &&mut Attempt| a.shelf == shelf && a.moving.is_none();
+        let mut more = machine_bytes(&m.name);
+        let mut any = row;
+        let mut new: HashSet<u32> = HashSet::new();
+        for a in m.attempts.iter_mut().filter(here) {
+            any = true;
+            more += ATTEMPT_BYTES;
+            if !jobs.contains(&a.job) && new.insert(a.job) {
+                more += job_row(sh.job_names.name(a.job), a);
+            }
+        }
+        if !any {
+            continue;
+        }
+        if bytes + more <= most {
+            bytes += more;
+            jobs.extend(new);
+            continue;
+        }
+        if row {
+            home(sh, h, m);
+        }
+        let ids: Vec<(usize, u32, String)> = m
+            .attempts
+            .iter()
+            .enumerate()
+            .filter(|(_, a)| a.shelf == shelf && a.moving.is_none())
+            .map(|(i, a)| (i, a.job, a.team.clone()))
+            .collect();
+        for (i, job, team) in ids {
+            let to = reserve(sh, h, m, job, &team);
+            m.attempts[i].moving = Some(to);
+        }
+    }
+}
+
+/// Whether a long record can't be written yet: it still holds too much, or what
+/// is to leave it does not stand elsewhere.
+fn held_back(sh: &Shared, machines: &[Option<Machine>], block: u32, shelf: u32) -> bool {
+    let ours = || machines.iter().flatten().filter(|m| m.block == block);
+    let leaves = |m: &Machine| {
+        m.row_from == Some(shelf) || m.attempts.iter().any(|a| a.shelf == shelf && a.moving.is_some())
+    };
+    if ours().any(leaves) {
+        return true;
+    }
+    let here = |m: &Machine| m.attempts.iter().filter(|a| a.shelf == shelf).map(|a| a.id).min();
+    let base = ours().filter_map(here).min().unwrap_or(0);
+    due_bytes(sh, machines, block, shelf, base) > limit(sh)
+}
+
 /// What a record holds in any case: rows that it may have already, and those
 /// of machines with a state of their own.
 fn due_bytes(sh: &Shared, machines: &[Option<Machine>], block: u32, shelf: u32, base: u64) -> usize {
@@ -192,6 +270,15 @@
     if !open {
         return;
     }
+    for (b, h) in blocks.iter_mut().enumerate() {
+        let Some(h) = h.as_mut().filter(|h| h.load == Load::Done) else { continue };
+        for s in 0..h.shelves.len() as u32 {
+            if h.shelves[s as usize].long && held_back(sh, machines, b as u32, s) {
+                spread_out(sh, h, machines, b as u32, s);
+                h.shelves[s as usize].next_at = now + MIN_GAP_MS;
+            }
+        }
+    }
     // What waits, shelf by shelf; false: not pressing.
     let mut needs: HashMap<(u32, u32), bool> = HashMap::new();
     for m in machines.iter_mut().flatten() {
@@ -204,6 +291,15 @@
                 needs.insert((m.block, a.shelf), true);
             }
         }
+        for a in &m.attempts {
+            if let Some(to) = a.moving {
+                needs.insert((m.block, to), true);
+            }
+        }
+        if let (Some(_), Some(home)) = (m.row_from, m.shelf) {
+            // Its long record can't shrink before this one has the row.
+            needs.insert((m.block, home), true);
+        }
         if m.can_retire() || m.isolated != m.isolated_written {
             let shelf = home(sh, h, m);
             *needs.entry((m.block, shelf)).or_default() |= m.can_retire();
@@ -238,9 +334,13 @@
                 shelf.stale.get_or_insert(now);
                 continue;
             }
+            if shelf.long && held_back(sh, machines, key.0, key.1) {
+                continue;
+            }
             if !sh.can_write(1) {
                 return;
             }
+            let shelf = &mut h.shelves[s];
             shelf.next_at = now + gap_ms(sh, own);
             write(sh, h, machines, key, term);
         }
@@ -269,13 +369,20 @@
     let mut rec = ShelfRecord::default();
     let mut jobs: HashMap<u32, u32> = HashMap::new();
     let mut checked: HashSet<u32> = HashSet::new();
-    let mut done =
-        Written { block, shelf, grant: h.grant, attempts: HashSet::new(), flags: HashMap::new() };
+    let mut done = Written {
+        block,
+        shelf,
+        grant: h.grant,
+        attempts: HashSet::new(),
+        moved: HashSet::new(),
+        flags: HashMap::new(),
+    };
+    let here = |a: &&Attempt| a.shelf == shelf || a.moving == Some(shelf);
     let ids = machines
         .iter()
         .flatten()
         .filter(|m| m.block == block)
-        .flat_map(|m| m.attempts.iter().filter(|a| a.shelf == shelf).map(|a| a.id));
+        .flat_map(|m| m.attempts.iter().filter(here).map(|a| a.id));
     rec.base = ids.min().unwrap_or(0);
     let mut bytes = due_bytes(sh, machines, block, shelf, rec.base);
     for (ix, m) in machines.iter_mut().enumerate() {
@@ -290,7 +397,7 @@
             flags |= ShelfMachine::SPOT;
         }
         let mut tasks = Vec::new();
-        for a in m.attempts.iter_mut().filter(|a| a.shelf == shelf) {
+        for a in m.attempts.iter_mut().filter(|a| a.shelf == shelf || a.moving == Some(shelf)) {
             // A binding granted by a former leader has no standing.
             let header = job_row(sh.job_names.name(a.job), a);
             let more = 5
@@ -298,7 +405,8 @@
                 + digits(a.id - rec.base)
                 + if tasks.is_empty() { machine_bytes(&m.name) } else { 0 }
                 + if jobs.contains_key(&a.job) { 0 } else { header };
-            let mut fresh = h.term == term && a.unwritten(sh) && bytes + more <= limit(sh);
+            let mut fresh =
+                h.term == term && a.moving.is_none() && a.unwritten(sh) && bytes + more <= limit(sh);
             if fresh && !checked.contains(&a.job) {
                 if txn.conds.len() < most_conds {
                     checked.insert(a.job);
@@ -310,7 +418,14 @@
                     fresh = false;
                 }
             }
-            if !(a.written || a.tried || fresh) {
+            if a.moving == Some(shelf) {
+                // On record elsewhere, so that it needs no condition of its own.
+                if bytes + more > limit(sh) {
+                    continue;
+                }
+                bytes += more;
+                done.moved.insert(a.id);
+            } else if !(a.written || a.tried || fresh) {
                 continue;
             }
             if fresh {
@@ -364,7 +479,10 @@
     shelf: u32,
     done: &Written,
 ) -> usize {
-    let left = |a: &&Attempt| a.shelf == shelf && a.unwritten(sh) && !done.attempts.contains(&a.id);
+    let left = |a: &&Attempt| {
+        a.shelf == shelf && a.unwritten(sh) && !done.attempts.contains(&a.id)
+            || a.moving == Some(shelf) && !done.moved.contains(&a.id)
+    };
     let ours = machines.iter().flatten().filter(|m| m.block == block);
     let row =
         |m: &Machine| m.attempts.iter().filter(left).count() * (ATTEMPT_BYTES + machine_bytes(&m.name));
@@ -386,19 +504,37 @@
         StateResult::Done { revision } => {
             shelf.write = Write::Idle;
             shelf.stamp = *revision;
+            shelf.long = false;
             h.dirty = true;
+            let mut emptier = Vec::new();
+            let mut moved = 0;
             for (ix, m) in machines.iter_mut().enumerate() {
                 let Some(m) = m.as_mut().filter(|m| m.block == w.block) else { continue };
-                for a in m.attempts.iter_mut().filter(|a| a.shelf == w.shelf) {
-                    a.written |= w.attempts.contains(&a.id);
+                for a in &mut m.attempts {
+                    if a.shelf == w.shelf {
+                        a.written |= w.attempts.contains(&a.id);
+                    } else if a.moving == Some(w.shelf) && w.moved.contains(&a.id) {
+                        emptier.push(a.shelf);
+                        a.move_to(w.shelf);
+                        moved += 1;
+                    }
                 }
                 if m.shelf == Some(w.shelf) {
+                    // A write sent before the row came here has not brought it.
+                    if w.flags.contains_key(&(ix as u32)) || !m.has_state() {
+                        emptier.extend(m.row_from.take());
+                    }
                     let f = w.flags.get(&(ix as u32)).copied().unwrap_or(0);
                     m.row_kept = false;
                     m.isolated_written = f & ShelfMachine::ISOLATED != 0;
                     m.returning_written |= f & ShelfMachine::RETURNING != 0;
                 }
             }
+            if moved < w.moved.len() {
+                // Gone meanwhile, and now listed here for nothing.
+                emptier.push(w.shelf);
+            }
+            mark_stale(h, emptier, sh.now);
         }
         StateResult::NotExecuted => {
             shelf.write = Write::Idle;
@@ -411,6 +547,15 @@
             shelf.stale.get_or_insert(sh.now);
             shelf.retry_at = sh.now + sh.jitter(80);
         }
+        StateResult::Bad => {
+            // Longer than the service takes, whatever the settings say: never
+            // again as it is.
+            let key = shelf_key(&sh.blocks[w.block as usize].name, w.shelf);
+            tracing::error!(key, "record rejected; what it holds goes to others");
+            shelf.write = Write::Doubtful;
+            shelf.long = true;
+            shelf.retry_at = sh.now + 2_000;
+        }
         _ => {
             shelf.write = Write::Doubtful;
             shelf.stale.get_or_insert(sh.now);
@@ -429,6 +574,7 @@
     let Some(state) = h.shelves.get_mut(shelf as usize) else { return };
     match result {
         StateResult::Item(i) => {
+            let bytes = i.value.to_string().len();
             let Ok(rec) = serde_json::from_value::<ShelfRecord>(i.value) else {
                 tracing::error!(key = i.key, "unreadable record");
                 state.write = Write::Doubtful;
@@ -438,6 +584,8 @@
             state.write = Write::Idle;
             state.stamp = i.version;
             state.stale.get_or_insert(sh.now);
+            state.long |= bytes > limit(sh);
+            let mut emptier = Vec::new();
             let listed: HashMap<&str, &ShelfMachine> =
                 rec.machines.iter().map(|m| (m.0.as_str(), m)).collect();
             for m in machines.iter_mut().flatten().filter(|m| m.block == block) {
@@ -445,12 +593,23 @@
                 if m.shelf == Some(shelf) {
                     m.isolated_written = row.is_some_and(|r| r.is(ShelfMachine::ISOLATED));
                     m.returning_written |= row.is_some_and(|r| r.is(ShelfMachine::RETURNING));
+                    let state = ShelfMachine::ISOLATED | ShelfMachine::RETURNING;
+                    if row.is_some_and(|r| r.is(state)) || !m.has_state() {
+                        emptier.extend(m.row_from.take());
+                    }
                 }
                 let Some(row) = row else { continue };
-                for a in m.attempts.iter_mut().filter(|a| a.shelf == shelf) {
-                    a.written |= row.tasks(rec.base).any(|t| t.2 == a.id);
+                for a in &mut m.attempts {
+                    let listed = || row.tasks(rec.base).any(|t| t.2 == a.id);
+                    if a.shelf == shelf {
+                        a.written |= listed();
+                    } else if a.moving == Some(shelf) && listed() {
+                        emptier.push(a.shelf);
+                        a.move_to(shelf);
+                    }
                 }
             }
+            mark_stale(h, emptier, sh.now);
             h.dirty = true;
         }
         StateResult::Missing => {
@@ -474,6 +633,12 @@
 }
 
 impl Attempt {
+    /// Stands on another record now.
+    fn move_to(&mut self, shelf: u32) {
+        self.shelf = shelf;
+        self.moving = None;
+    }
+
     /// Waits for the record that must stand before its `run`.
     pub fn unwritten(&self, sh: &Shared) -> bool {
         !self.written && self.want && sh.job(self.job).state == JobState::Live
--- a/src/core/sync.rs
+++ b/src/core/sync.rs
@@ -15,6 +15,11 @@
 pub const LEADER: &str = "w/leader";
 pub const CATALOG: &str = "w/catalog";
 
+/// The records of the machine types: the first, and more if they need it.
+pub fn catalog_key(n: usize) -> String {
+    if n == 0 { CATALOG.into() } else { format!("{CATALOG}/{n}") }
+}
+
 pub fn job_key(id: &str) -> String {
     format!("w/job/{id}")
 }
@@ -131,8 +136,12 @@
         if let Some(r) = value.and_then(|v| read::<JobRecord>(key, v)) {
             sh.put_job(id, r, stamp);
         }
-    } else if key == CATALOG && stamp > sh.catalog_stamp {
-        sh.catalog_stamp = stamp;
+    } else if key == CATALOG || key.starts_with("w/catalog/") {
+        let known = sh.catalog_stamps.entry(key.to_string()).or_default();
+        if stamp <= *known {
+            return;
+        }
+        *known = stamp;
         if let Some(list) = value.and_then(|v| read::<Vec<cloud::MachineType>>(key, v)) {
             let new = list.into_iter().map(MachineType::from).collect();
             sh.types = merge_types(&sh.types, new);
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -1,5 +1,7 @@
 //! The state service's interface, and the records that we keep in it.
 
+use super::users::ID_PREFIX;
+use crate::core::model::Spec;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -113,15 +115,58 @@
 }
 
 /// `w/job/<id>`: final records keep only the state.
+///
+/// The version before pipelines reads these records too and ignores the fields
+/// that it doesn't know. A job that awaits others keeps its description in a
+/// field of its own, so that such a leader, which would start it at once, finds
+/// nothing to start, while its users are answered as ever.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct JobRecord {
     #[serde(rename = "s")]
     pub state: JobState,
     #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
-    pub spec: Option<crate::core::model::Spec>,
+    spec: Option<Spec>,
     /// Number of tasks, kept for the answers about a final job.
     #[serde(rename = "n", default)]
     pub tasks: u32,
+    /// The description of a job that awaits others.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    staged: Option<Spec>,
+    /// What it awaits: the digits of the ids, apart by spaces.
+    #[serde(rename = "w", default, skip_serializing_if = "String::is_empty")]
+    awaits: String,
+    /// Time of day at which the job was done: from then on count the times of
+    /// the jobs that await it.
+    #[serde(rename = "t", default, skip_serializing_if = "is_zero")]
+    pub done_ms: u64,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+impl JobRecord {
+    pub fn live(spec: Spec, awaits: &[String]) -> JobRecord {
+        let tasks = spec.tasks;
+        let digits: Vec<&str> = awaits.iter().filter_map(|id| id.strip_prefix(ID_PREFIX)).collect();
+        let (spec, staged) = if awaits.is_empty() { (Some(spec), None) } else { (None, Some(spec)) };
+        JobRecord { state: JobState::Live, spec, tasks, staged, awaits: digits.join(" "), done_ms: 0 }
+    }
+
+    pub fn done(tasks: u32, done_ms: u64) -> JobRecord {
+        JobRecord { state: JobState::Done, done_ms, ..JobRecord::withdrawn(tasks) }
+    }
+
+    pub fn withdrawn(tasks: u32) -> JobRecord {
+        let awaits = String::new();
+        JobRecord { state: JobState::Cancelled, spec: None, tasks, staged: None, awaits, done_ms: 0 }
+    }
+
+    /// The description, if the job is live, and the ids of what it awaits.
+    pub fn into_parts(self) -> (Option<Spec>, Vec<String>) {
+        let ids = self.awaits.split_ascii_whitespace().map(|d| format!("{ID_PREFIX}{d}")).collect();
+        (self.spec.or(self.staged), ids)
+    }
 }
 
 #[derive(Debug, Clone, Copy, Serialize, Deserialize, PartialEq, Eq)]
--- a/src/wire/users.rs
+++ b/src/wire/users.rs
@@ -4,10 +4,16 @@
 use crate::core::model::{Priority, Spec};
 use serde::Serialize;
 use serde_json::{Map, Value};
+use std::collections::HashSet;
 
 /// No request body may be longer.
 pub const MAX_BODY: usize = 64 << 10;
 pub const MAX_TASKS: u64 = 100_000;
+/// Jobs that one job may name in `awaits`, each counted once. Pipelines name a
+/// handful; with ids of usual length so many take half of a small record.
+pub const MAX_AWAITS: usize = 100;
+/// Every job id begins so; digits follow.
+pub const ID_PREFIX: &str = "run-";
 /// Amounts above this make no sense for any machine and only invite overflow.
 const MAX_AMOUNT: f64 = 1e9;
 
@@ -38,7 +44,7 @@
 
 /// Job ids are always `run-` and digits; anything else is nobody's job.
 pub fn valid_id(id: &str) -> bool {
-    id.strip_prefix("run-")
+    id.strip_prefix(ID_PREFIX)
         .is_some_and(|d| !d.is_empty() && d.len() <= 20 && d.bytes().all(|b| b.is_ascii_digit()))
 }
 
@@ -88,8 +94,43 @@
     }
 }
 
-/// Reads a submission. The second part of the result is the job itself.
-pub fn parse_job(body: &[u8]) -> Result<(String, Spec), Invalid> {
+/// A submission as read.
+#[derive(Debug)]
+pub struct Submission {
+    pub id: String,
+    pub spec: Spec,
+    /// Each job once, in the order named. What is wrong with the list counts
+    /// only once the job is known to be new: a repeated submission of an
+    /// accepted job gets its state, whatever else it says.
+    pub awaits: Result<Vec<String>, Invalid>,
+}
+
+/// The jobs named, each once.
+fn awaited(list: Option<&Value>) -> Result<Vec<String>, Invalid> {
+    let bad = |why: String| Invalid { field: "awaits", why };
+    let list = match list {
+        None => return Ok(Vec::new()),
+        Some(Value::Array(list)) => list,
+        Some(_) => return Err(bad("must be a list of job ids".into())),
+    };
+    let mut out: Vec<String> = Vec::new();
+    let mut seen: HashSet<&str> = HashSet::new();
+    for v in list {
+        let Some(id) = v.as_str().filter(|id| valid_id(id)) else {
+            return Err(bad("must list job ids, run- and digits".into()));
+        };
+        if seen.insert(id) {
+            out.push(id.to_string());
+        }
+    }
+    if out.len() > MAX_AWAITS {
+        return Err(bad(format!("must name no more than {MAX_AWAITS} jobs")));
+    }
+    Ok(out)
+}
+
+/// Reads a submission.
+pub fn parse_job(body: &[u8]) -> Result<Submission, Invalid> {
     if body.len() > MAX_BODY {
         return Err(Invalid { field: "body", why: "is longer than 64 KiB".into() });
     }
@@ -168,5 +209,5 @@
         deadline_s: due_s,
         at_ms: 0,
     };
-    Ok((id.to_string(), spec))
+    Ok(Submission { id: id.to_string(), spec, awaits: awaited(f.get("awaits")) })
 }
