Stories of pipelines, of the limits to come, and of what production leaves

Frames, records and machines as the version in production made them are kept as fixtures. The oracle of the fakes also watches too_early, orphaned and answers that go back.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -26,27 +26,41 @@
     Platform::parse("test.toml", &settings(node, nodes)).expect("settings")
 }
 
+/// Limits that the settings announce: KiB a value, changes a transaction, and
+/// changes a second.
+pub type Next = (f64, usize, f64);
+
+fn sized_platform(size: Size, node: usize, nodes: usize, next: Option<Next>) -> Platform {
+    let mut s = match size {
+        Size::Small => settings(node, nodes),
+        Size::Large => large_settings(node, nodes),
+        Size::Fleet => fleet_settings(node, nodes),
+    };
+    if let Some((kb, ops, rate)) = next {
+        s += &format!("[cluster.state.next]\nvalue_kb={kb:?}\ntxn_ops={ops}\nwrite_rps={rate:?}\n");
+    }
+    Platform::parse("test.toml", &s).expect("settings")
+}
+
 /// The same for hundreds of machines: large teams, few changes a second, and
 /// rare reports.
-pub fn large_platform(node: usize, nodes: usize) -> Platform {
-    let s = settings(node, nodes)
+fn large_settings(node: usize, nodes: usize) -> String {
+    settings(node, nodes)
         .replace("report_s=3.0", "report_s=8.0")
         .replace("cpus_max=64.0", "cpus_max=4000.0")
         .replace("write_rps=200.0", "write_rps=20.0")
-        .replace("rps=500.0", "rps=150.0");
-    Platform::parse("test.toml", &s).expect("settings")
+        .replace("rps=500.0", "rps=150.0")
 }
 
 /// The same for thousands of machines, whose work no team's limit holds back.
-pub fn fleet_platform(node: usize, nodes: usize) -> Platform {
-    let s = settings(node, nodes)
+fn fleet_settings(node: usize, nodes: usize) -> String {
+    settings(node, nodes)
         .replace("report_s=3.0", "report_s=8.0")
         .replace("cpus_max=64.0", "cpus_max=40000.0")
         .replace("cpus=16.0", "cpus=9000.0")
         .replace("write_rps=200.0", "write_rps=70.0")
         .replace("rps=500.0", "rps=200.0")
-        .replace("max_connections=800", "max_connections=2500");
-    Platform::parse("test.toml", &s).expect("settings")
+        .replace("max_connections=800", "max_connections=2500")
 }
 
 fn settings(node: usize, nodes: usize) -> String {
@@ -97,6 +111,10 @@
     pub rates: Option<(f64, f64)>,
     tokens: (f64, f64, u64),
     pub refused: u64,
+    /// KiB a value and changes a transaction, since the limits have fallen.
+    pub fallen: Option<(f64, usize)>,
+    /// Keys of what was rejected for its size since.
+    pub rejected: Vec<String>,
 }
 
 impl State {
@@ -177,6 +195,17 @@
         }
         let bytes = serde_json::to_string(t).map_or(0, |s| s.len());
         assert!(bytes <= 64 << 10, "transaction of {bytes} bytes");
+        if let Some((kb, ops)) = self.fallen {
+            let too_long = |c: &&Change| match c {
+                Change::Put { value, .. } => value.to_string().len() as f64 > kb * 1024.0,
+                Change::Delete { .. } => false,
+            };
+            if let Some(Change::Put { key, .. }) = t.changes.iter().find(too_long) {
+                self.rejected.push(key.clone());
+                return StateResult::Bad;
+            }
+            assert!(t.changes.len() <= ops && t.conds.len() <= 4 * ops, "transaction over its limits");
+        }
         assert!(t.changes.len() <= 12 && t.conds.len() <= 48, "transaction over its limits");
         self.revision += 1;
         self.writes += t.changes.len() as u64;
@@ -375,6 +404,10 @@
     cloud_rate: (f64, u64),
     pub cloud_calls: u32,
     pub cloud_refused: u32,
+    next: Option<Next>,
+    /// What users were last told of jobs that are over.
+    told: HashMap<String, String>,
+    pub asked_to_cancel: HashSet<String>,
 }
 
 /// How large a world is, and with it how rare its reports are.
@@ -387,13 +420,108 @@
 
 impl World {
     pub fn new(nodes: usize, seed: u64) -> World {
-        World::sized(nodes, seed, Size::Small)
+        World::sized(nodes, seed, Size::Small, None)
+    }
+
+    /// With limits announced that come later, by `fall`.
+    pub fn announced(nodes: usize, seed: u64, next: Next) -> World {
+        World::sized(nodes, seed, Size::Small, Some(next))
+    }
+
+    /// As the version in production left it, with all processes new: its
+    /// records, and its machines in the midst of their tasks.
+    pub fn from_production(seed: u64, next: Next) -> World {
+        let text = include_str!("../fixtures/production.json");
+        let d: Value = serde_json::from_str(text).expect("fixture");
+        let mut w = World::sized(3, seed, Size::Large, Some(next));
+        w.state.rates = Some((150.0, 20.0));
+        w.capacity = 0;
+        w.run_ms = 200_000;
+        w.now = d["now"].as_u64().unwrap();
+        for i in 0..3 {
+            w.boot(i);
+        }
+        let number = |v: &Value| v.as_u64().unwrap();
+        w.state.revision = number(&d["revision"]);
+        w.state.floor = w.state.revision;
+        for k in d["keys"].as_array().unwrap() {
+            let lease = k[1]["lease"].as_u64();
+            if let Some(l) = lease {
+                w.state.leases.insert(l, (5_000, w.now + 5_000));
+                w.state.next_lease = l;
+            }
+            let value = (k[1].clone(), number(&k[2]), lease);
+            w.state.keys.insert(k[0].as_str().unwrap().into(), value);
+        }
+        for (i, x) in d["workers"].as_array().unwrap().iter().enumerate() {
+            let r: Report = serde_json::from_value(x.clone()).expect("worker");
+            w.add_worker(i, &r.zone, r.spot, 0);
+            let left = x["left_ms"].as_array().unwrap();
+            let worker = &mut w.workers[i];
+            (worker.session, worker.seq, worker.token) = (r.session, r.seq, r.token);
+            for (t, left) in r.tasks.into_iter().zip(left) {
+                let (job, task) = t.task.rsplit_once('/').unwrap();
+                worker.tasks.push(WTask {
+                    job: job.into(),
+                    task: task.parse().unwrap(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    why: t.why,
+                    at: w.now + number(left),
+                });
+                w.starts.insert(format!("{job}/{task}"), 1);
+            }
+        }
+        for (id, j) in d["jobs"].as_object().unwrap() {
+            w.jobs.insert(id.clone(), j.clone());
+            let key = |k: &str| w.state.keys.get(k).map(|v| v.0.clone());
+            if key(&format!("w/job/{id}")).is_some_and(|v| v["s"] == "c") {
+                w.asked_to_cancel.insert(id.clone());
+            }
+            if key(&format!("progress/{id}/0")).is_some() {
+                // As many as the oracle looks at.
+                w.starts.extend((0..200).map(|t| (format!("{id}/{t}"), 1)));
+            }
+        }
+        w
+    }
+
+    /// The announced limits come, without notice.
+    pub fn fall(&mut self) {
+        let (kb, ops, rate) = self.next.expect("limits were announced");
+        self.state.fallen = Some((kb, ops));
+        if let Some(r) = &mut self.state.rates {
+            r.1 = rate;
+        }
+    }
+
+    /// Tasks on machines that no record speaks of.
+    pub fn off_record(&self) -> Vec<String> {
+        let mut listed: HashSet<(String, u64)> = HashSet::new();
+        for (_, v) in self.state.keys.iter().filter(|(k, _)| k.starts_with("place/")) {
+            let base = v.0["b"].as_u64().unwrap();
+            for m in v.0["m"].as_array().unwrap() {
+                let name = m[0].as_str().unwrap();
+                let ids = m[3].as_array().unwrap().chunks(3).map(|t| base + t[2].as_u64().unwrap());
+                listed.extend(ids.map(|id| (name.to_string(), id)));
+            }
+        }
+        let mut out = Vec::new();
+        for w in self.workers.iter().filter(|w| w.alive) {
+            let live = |t: &&WTask| t.state != TaskState::Exited;
+            for t in w.tasks.iter().filter(live) {
+                if !listed.contains(&(w.name.clone(), t.attempt)) {
+                    out.push(format!("{}/{} on {}", t.job, t.task, w.name));
+                }
+            }
+        }
+        out
     }
 
     /// With the rates of the settings enforced, and no machines to be had but
     /// those that a story adds.
     pub fn large(nodes: usize, seed: u64) -> World {
-        let mut w = World::sized(nodes, seed, Size::Large);
+        let mut w = World::sized(nodes, seed, Size::Large, None);
         w.state.rates = Some((150.0, 20.0));
         w.capacity = 0;
         w
@@ -401,13 +529,13 @@
 
     /// The same for thousands of machines.
     pub fn fleet(nodes: usize, seed: u64) -> World {
-        let mut w = World::sized(nodes, seed, Size::Fleet);
+        let mut w = World::sized(nodes, seed, Size::Fleet, None);
         w.state.rates = Some((200.0, 70.0));
         w.capacity = 0;
         w
     }
 
-    fn sized(nodes: usize, seed: u64, size: Size) -> World {
+    fn sized(nodes: usize, seed: u64, size: Size, next: Option<Next>) -> World {
         let mut w = World {
             now: 1000,
             nodes: (0..nodes).map(|_| None).collect(),
@@ -450,6 +578,9 @@
             cloud_rate: (CLOUD_RPS, 0),
             cloud_calls: 0,
             cloud_refused: 0,
+            next,
+            told: HashMap::new(),
+            asked_to_cancel: HashSet::new(),
         };
         for i in 0..nodes {
             w.boot(i);
@@ -460,12 +591,7 @@
     pub fn boot(&mut self, node: usize) {
         self.next_inc += 1;
         let inc = self.next_inc;
-        let cfg = match self.size {
-            Size::Small => platform(node, self.n),
-            Size::Large => large_platform(node, self.n),
-            Size::Fleet => fleet_platform(node, self.n),
-        };
-        let cfg = Arc::new(cfg);
+        let cfg = Arc::new(sized_platform(self.size, node, self.n, self.next));
         let core = Core::new(cfg, Operator::default(), inc, inc * 7, self.now);
         self.nodes[node] = Some((core, inc));
     }
@@ -722,6 +848,7 @@
             }
             Ev::Reply { worker, id, answer } => self.worker_reply(worker, id, answer),
             Ev::User { req, answer } => {
+                self.hear(&answer);
                 self.answers.insert(req, answer);
             }
         }
@@ -989,6 +1116,56 @@
 
     // ---- the rules ----
 
+    /// The jobs that a job awaits, directly or through others.
+    pub fn before(&self, id: &str) -> Vec<String> {
+        let mut out: Vec<String> = Vec::new();
+        let mut list = vec![id.to_string()];
+        while let Some(id) = list.pop() {
+            for a in self.jobs.get(&id).and_then(|j| j["awaits"].as_array()).into_iter().flatten() {
+                let a = a.as_str().unwrap_or_default().to_string();
+                if !out.contains(&a) {
+                    out.push(a.clone());
+                    list.push(a);
+                }
+            }
+        }
+        out
+    }
+
+    /// Holds an answer to a user against what users were told before.
+    fn hear(&mut self, answer: &Answer) {
+        let v: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        let (Some(id), Some(status)) = (v["name_id"].as_str(), v["status"].as_str()) else { return };
+        if let Some(before) = self.told.get(id).filter(|b| *b != status) {
+            self.broken.push(format!("{} went_back {id}: {before}, then {status}", self.now));
+        }
+        let mut family = self.before(id);
+        family.push(id.to_string());
+        match status {
+            "queued" | "running" => {
+                let late =
+                    |a: &&String| self.cancelled.get(*a).is_some_and(|at| self.now > at + CANCEL_MS);
+                if let Some(a) = family.iter().find(late) {
+                    self.broken.push(format!("{} orphaned {id}: {a} is withdrawn", self.now));
+                }
+            }
+            "withdrawn" => {
+                let key = |a: &String| format!("w/job/{a}");
+                let cancelled = |a: &String| {
+                    self.asked_to_cancel.contains(a)
+                        || self.state.keys.get(&key(a)).is_some_and(|v| v.0["s"] == "c" && a != id)
+                };
+                if !family.iter().any(cancelled) {
+                    self.broken.push(format!("{} went_back {id}: nobody cancelled it", self.now));
+                }
+                self.told.insert(id.into(), status.into());
+            }
+            _ => {
+                self.told.insert(id.into(), status.into());
+            }
+        }
+    }
+
     fn started(&mut self, worker: usize, job: &str, task: u32) {
         *self.starts.entry(format!("{job}/{task}")).or_default() += 1;
         for (i, w) in self.workers.iter().enumerate() {
@@ -1005,6 +1182,12 @@
             self.broken.push(format!("started an unknown job {job}"));
             return;
         };
+        for a in spec["awaits"].as_array().into_iter().flatten() {
+            let key = format!("w/job/{}", a.as_str().unwrap_or_default());
+            if self.state.keys.get(&key).is_none_or(|v| v.0["s"] != "d") {
+                self.broken.push(format!("{} too_early {job}/{task}: {a} is not done", self.now));
+            }
+        }
         // A look at all tasks of all machines for each start would take longer
         // than the service itself; no team's limit is near here.
         let sums = self.size != Size::Fleet || self.starts.len().is_multiple_of(200);
@@ -1071,6 +1254,7 @@
     }
 
     pub fn cancel(&mut self, node: usize, id: &str) -> u16 {
+        self.asked_to_cancel.insert(id.into());
         let r = self.ask(node, HttpCall::Cancel(id.into()));
         self.run(500);
         let a = self.answers.get(&r).cloned();
