--- /dev/null
+++ b/src/core/blocks.rs
@@ -0,0 +1,133 @@
+//! Who holds which block: the leader gives blocks to living nodes, and moves them
+//! when a node is lost or back.
+
+use super::leader::{Leader, LeaderCall};
+use super::model::Ms;
+use super::shared::Shared;
+use super::sync::block_key;
+use super::{Purpose, StateOp};
+use crate::wire::state::{BlockRecord, Change, Cond, Txn};
+
+/// How long a new leader waits for the recorded holders to show themselves.
+const HOLDER_GRACE_MS: Ms = 2_500;
+/// A node must have been heard for so long before blocks move to it for
+/// balance alone.
+const SETTLED_MS: Ms = 6_000;
+/// A holder whose state service calls fail for so long, while ours succeed,
+/// can't place anything.
+const HOLDER_STATE_MS: u64 = 4_000;
+
+#[derive(Debug)]
+pub struct LBlock {
+    pub(super) serial: u64,
+    pub dirty: bool,
+    pub(super) sent_at: Ms,
+    /// Attempts in its last picture.
+    pub(super) size: usize,
+    pub(super) grant: u64,
+    /// The present holder has shown its whole picture.
+    pub shown: bool,
+    pub gone: Vec<(String, Ms)>,
+    pub waiting: Vec<(u32, u32)>,
+    pub(super) writing: bool,
+    pub(super) retry_at: Ms,
+}
+
+impl Leader {
+    pub(super) fn node_alive(&self, sh: &Shared, node: &str, incarnation: Option<u64>) -> bool {
+        if node == sh.me {
+            return incarnation.is_none_or(|i| i == sh.incarnation);
+        }
+        let silence = (sh.op.node_silence_s * 1000.0) as Ms;
+        sh.peers.get(node).is_some_and(|p| {
+            p.heard + silence > sh.now
+                && p.hears_us
+                && incarnation.is_none_or(|i| i == p.incarnation)
+                && (p.state_age < HOLDER_STATE_MS || sh.state_age() > 1500)
+        })
+    }
+
+    /// Gives blocks to living nodes: home first, then the zone, then anyone
+    /// with few blocks.
+    pub(super) fn follow_blocks(&mut self, sh: &mut Shared) {
+        for b in 0..self.blocks.len() {
+            let rec = sh.block_recs[b].clone();
+            let grant = rec.as_ref().map_or(0, |(_, s)| *s);
+            if self.blocks[b].grant != grant {
+                self.blocks[b].grant = grant;
+                self.blocks[b].shown = false;
+                self.blocks[b].dirty = true;
+                for a in self.attempts.values_mut().filter(|a| a.block == b as u32) {
+                    // The new holder knows only what is in the records.
+                    a.bind = false;
+                    a.serial = u64::MAX;
+                }
+            }
+            if self.blocks[b].writing || sh.now < self.blocks[b].retry_at {
+                continue;
+            }
+            let home = sh.blocks[b].home.clone();
+            let target = match &rec {
+                None => self.choose_holder(sh, b, None),
+                Some((r, _)) => {
+                    let alive = self.node_alive(sh, &r.node, Some(r.incarnation));
+                    let restarted = sh.peers.get(&r.node).is_some_and(|p| p.incarnation > r.incarnation)
+                        || (r.node == sh.me && r.incarnation != sh.incarnation);
+                    if !alive && (restarted || sh.now > self.active_at + HOLDER_GRACE_MS) {
+                        let except = (!restarted).then_some(r.node.as_str());
+                        self.choose_holder(sh, b, except)
+                    } else if alive && home.as_ref().is_some_and(|h| *h != r.node && self.settled(sh, h))
+                    {
+                        home
+                    } else {
+                        None
+                    }
+                }
+            };
+            let Some(node) = target else { continue };
+            let incarnation = if node == sh.me {
+                sh.incarnation
+            } else {
+                sh.peers.get(&node).map_or(0, |p| p.incarnation)
+            };
+            if rec.as_ref().is_some_and(|(r, _)| r.node == node && r.incarnation == incarnation) {
+                continue;
+            }
+            tracing::debug!(block = sh.blocks[b].name, node, "granting block");
+            let key = block_key(&sh.blocks[b].name);
+            let value = serde_json::to_value(BlockRecord { node, incarnation }).unwrap_or_default();
+            let txn = Txn {
+                conds: vec![self.leader_cond(), Cond { key: key.clone(), version: grant }],
+                changes: vec![Change::Put { key, value, lease: None }],
+            };
+            self.blocks[b].writing = true;
+            sh.state_call(Purpose::Leader(LeaderCall::Block { block: b as u32 }), StateOp::Txn(txn));
+        }
+    }
+
+    pub(super) fn settled(&self, sh: &Shared, node: &str) -> bool {
+        node == sh.me
+            || (self.node_alive(sh, node, None)
+                && sh.peers.get(node).is_some_and(|p| p.since + SETTLED_MS < sh.now))
+    }
+
+    pub(super) fn choose_holder(
+        &self,
+        sh: &Shared,
+        block: usize,
+        except: Option<&str>,
+    ) -> Option<String> {
+        let mut nodes: Vec<(&str, &str)> =
+            sh.cfg.peers.iter().map(|p| (p.node.as_str(), p.zone.as_str())).collect();
+        nodes.push((&sh.me, &sh.cfg.zone));
+        let b = &sh.blocks[block];
+        nodes
+            .into_iter()
+            .filter(|(n, _)| Some(*n) != except && self.node_alive(sh, n, None))
+            .min_by_key(|(n, z)| {
+                let holds = sh.block_recs.iter().flatten().filter(|(r, _)| r.node == *n).count();
+                (b.home.as_deref() != Some(*n), *z != b.zone, holds, n.to_string())
+            })
+            .map(|(n, _)| n.to_string())
+    }
+}
--- /dev/null
+++ b/src/core/exchange.rs
@@ -0,0 +1,253 @@
+//! The leader's side of the pictures: what holders have, taken in, and what it
+//! wants there, sent out.
+
+use super::attempts::LAttempt;
+use super::leader::Leader;
+use super::model::{Ms, Res};
+use super::shared::Shared;
+use crate::wire::peer::{Body, Have, HaveJob, HaveState, HaveTask, Want, WantJob};
+use rustc_hash::FxHashSet;
+use std::collections::{BTreeMap, HashMap};
+
+const WANT_GAP_MS: Ms = 30;
+const WANT_EVERY_MS: Ms = 500;
+
+/// What a block's picture wants of each job: (task, attempt, bind).
+type WantedJobs = BTreeMap<u32, Vec<(u32, u64, bool)>>;
+
+/// A job of a holder's picture, looked up once for all its tasks.
+pub(super) struct TaskOf {
+    job: Option<u32>,
+    team: Option<usize>,
+    need: Res,
+}
+
+impl TaskOf {
+    pub(super) fn new(sh: &Shared, j: &HaveJob) -> TaskOf {
+        TaskOf {
+            job: sh.job_ix(&j.job),
+            team: sh.cfg.cluster.teams.iter().position(|t| t.name == j.team),
+            need: Res { cpus: j.cpus, gpus: j.gpus, mem: j.memory_gb },
+        }
+    }
+}
+
+impl Leader {
+    pub fn on_have(&mut self, sh: &mut Shared, from: &str, h: Have) {
+        let Some(b) = self.blocks.get(h.block as usize) else { return };
+        let holder = sh.block_recs[h.block as usize].as_ref();
+        if !self.active
+            || h.term != self.term
+            || h.grant != b.grant
+            || holder.is_none_or(|(r, _)| r.node != from)
+        {
+            return;
+        }
+        if !b.shown {
+            self.blocks[h.block as usize].shown = true;
+            self.round_due = true;
+        }
+        let mut listed: FxHashSet<u64> = FxHashSet::default();
+        let zone = sh.blocks[h.block as usize].zone.clone();
+        let jobs: Vec<TaskOf> = h.jobs.iter().map(|j| TaskOf::new(sh, j)).collect();
+        for m in &h.machines {
+            let type_name = h.types.get(m.machine_type as usize).map_or("", String::as_str);
+            let ix = self.fleet.heard(sh, m, type_name, &zone);
+            if let Some(m) = self.fleet.machines.get(&ix)
+                && m.block != h.block
+            {
+                continue;
+            }
+            for t in &m.tasks {
+                let Some(of) = jobs.get(t.job as usize) else { continue };
+                listed.insert(t.attempt);
+                self.take_task(sh, h.block, ix, of, t);
+            }
+        }
+        let gone: Vec<u64> = self
+            .attempts
+            .iter()
+            .filter(|(id, a)| a.block == h.block && a.serial <= h.echo && !listed.contains(id))
+            .map(|(id, _)| id)
+            .collect();
+        for id in gone {
+            if let Some(a) = self.attempts.remove(id) {
+                self.requeue(a.job, a.task);
+            }
+        }
+    }
+
+    pub(super) fn take_task(
+        &mut self,
+        sh: &mut Shared,
+        block: u32,
+        machine: u32,
+        of: &TaskOf,
+        t: &HaveTask,
+    ) {
+        let Some(job) = of.job else { return };
+        if !self.attempts.contains(t.attempt) {
+            // Bound for an earlier leader, and not in the records that we
+            // read: gone already, or known under a newer attempt.
+            let busy = self.attempts.has_task(job, t.task);
+            let want = !busy && self.jobs.get(&job).is_some_and(|j| !j.done.contains(t.task));
+            if want && let Some(j) = self.jobs.get_mut(&job) {
+                j.issued.insert(t.task);
+                j.retry.retain(|x| *x != t.task);
+            }
+            self.attempts.insert(
+                t.attempt,
+                LAttempt {
+                    job,
+                    task: t.task,
+                    block,
+                    machine: Some(machine),
+                    bind: false,
+                    want,
+                    state: t.state,
+                    need: of.need,
+                    team: of.team,
+                    ran_ms: t.ran_ms,
+                    serial: u64::MAX,
+                },
+            );
+            self.blocks[block as usize].dirty = true;
+        }
+        let Some(a) = self.attempts.get_mut(t.attempt) else { return };
+        if a.machine != Some(machine) || a.bind {
+            self.round_due = true;
+        }
+        a.machine = Some(machine);
+        a.bind = false;
+        a.ran_ms = t.ran_ms;
+        let before = a.state;
+        a.state = t.state;
+        if before == t.state {
+            return;
+        }
+        self.round_due = true;
+        match t.state {
+            HaveState::Done => {
+                let Some(j) = self.jobs.get_mut(&job) else { return };
+                if j.done.insert(t.task) {
+                    j.unrecorded.push(t.task);
+                    j.fails = 0;
+                    j.failed_on.clear();
+                    self.fleet.succeeded(machine);
+                    if t.ran_ms > 0 && j.spec.estimate_s > 0.0 {
+                        let ratio = (t.ran_ms as f64 / 1000.0 / j.spec.estimate_s).clamp(0.1, 10.0);
+                        let r = self.ratios.entry(j.spec.class.clone()).or_insert(1.0);
+                        *r += 0.03 * (ratio - *r);
+                    }
+                } else if j.recorded.contains(t.task) {
+                    a.want = false;
+                    self.blocks[block as usize].dirty = true;
+                }
+            }
+            HaveState::Failed => {
+                a.want = false;
+                self.blocks[block as usize].dirty = true;
+                if let Some(j) = self.jobs.get_mut(&job) {
+                    j.fails += 1;
+                    j.failed_on.insert(machine);
+                    // Failing on several machines, the job itself is at
+                    // fault; it must not take the machines with it.
+                    if j.failed_on.len() >= 3 {
+                        let factor = 1 << j.fails.saturating_sub(3).min(5);
+                        j.hold_until = sh.now + 2_000 * factor;
+                    } else {
+                        self.fleet.failed(sh.now, machine, job);
+                    }
+                }
+            }
+            HaveState::Stopped | HaveState::Refused => {
+                a.want = false;
+                self.blocks[block as usize].dirty = true;
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn send_wants(&mut self, sh: &mut Shared) {
+        let now = sh.now;
+        let mut due: Vec<u32> = Vec::new();
+        for (b, lb) in self.blocks.iter_mut().enumerate() {
+            let gap = sh.widened(WANT_GAP_MS, lb.size);
+            let at = lb.sent_at + if lb.dirty { gap } else { WANT_EVERY_MS.max(gap) };
+            if (now >= at || lb.sent_at == 0) && sh.block_recs[b].is_some() {
+                lb.dirty = false;
+                lb.sent_at = now;
+                lb.serial += 1;
+                lb.gone.retain(|(_, at)| at + 30_000 > now);
+                due.push(b as u32);
+            }
+        }
+        if due.is_empty() {
+            return;
+        }
+        let mut jobs: Vec<WantedJobs> = vec![BTreeMap::new(); self.blocks.len()];
+        for (id, a) in self.attempts.iter_mut().filter(|(_, a)| due.contains(&a.block)) {
+            let b = a.block as usize;
+            if a.serial == u64::MAX {
+                a.serial = self.blocks[b].serial;
+            }
+            if a.want {
+                jobs[b].entry(a.job).or_default().push((a.task, id, a.bind));
+            }
+        }
+        for b in due.into_iter().map(|b| b as usize) {
+            let Some((rec, grant)) = sh.block_recs[b].clone() else { continue };
+            let serial = self.blocks[b].serial;
+            let jobs = std::mem::take(&mut jobs[b]);
+            self.blocks[b].size = jobs.values().map(Vec::len).sum();
+            let want = Want {
+                term: self.term,
+                block: b as u32,
+                grant,
+                serial,
+                jobs: jobs
+                    .into_iter()
+                    .map(|(job, tasks)| WantJob {
+                        job: sh.job_names.name(job).clone(),
+                        expected_s: self.jobs.get(&job).map_or(1.0, |j| self.expected_s(&j.spec)),
+                        tasks,
+                    })
+                    .collect(),
+                waiting: self.blocks[b]
+                    .waiting
+                    .iter()
+                    .map(|(j, n)| crate::wire::peer::WaitingTasks {
+                        job: sh.job_names.name(*j).clone(),
+                        count: *n,
+                    })
+                    .collect(),
+                isolated: self.fleet.isolated(b as u32),
+                retire: self.fleet.retiring(sh, b as u32),
+                gone: self.blocks[b].gone.iter().map(|(n, _)| n.clone()).collect(),
+                shunned: self.fleet.shunned(b as u32, now),
+            };
+            sh.send(&rec.node, Body::Want(want));
+        }
+    }
+
+    pub(super) fn tell_counts(&mut self, sh: &mut Shared) {
+        if sh.now < self.counts_at + 500 {
+            return;
+        }
+        self.counts_at = sh.now;
+        let mut running: HashMap<u32, u32> = HashMap::new();
+        for a in self.attempts.values().filter(|a| a.state == HaveState::Running) {
+            *running.entry(a.job).or_default() += 1;
+        }
+        sh.counts_out = self
+            .jobs
+            .iter()
+            .map(|(ix, j)| {
+                let n = running.get(ix).copied().unwrap_or(0);
+                (sh.job_names.name(*ix).clone(), j.done.len(), n)
+            })
+            .filter(|(_, d, r)| *d > 0 || *r > 0)
+            .take(2000)
+            .collect();
+    }
+}
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -4,7 +4,8 @@
 //! nearness of deadline, and grants what fits into quota and free room. Its
 //! batch is as wide as the backlog; what holds it back is room, not a count.
 
-use super::leader::{LJob, Leader};
+use super::leader::Leader;
+use super::ljobs::LJob;
 use super::model::{JobOrder, Res, Spec};
 use super::shared::Shared;
 use super::window::{allowed, fit_score};
--- /dev/null
+++ b/src/core/keeping.rs
@@ -0,0 +1,66 @@
+//! Records that the leader keeps for those after it: the catalog and the fleet.
+
+use super::leader::{FleetRecord, Leader, LeaderCall};
+use super::shared::Shared;
+use super::sync::catalog_key;
+use super::{Purpose, StateOp};
+use crate::wire::cloud;
+use crate::wire::state::{Change, Txn};
+
+/// Machine types in as few records as the limit allows.
+fn split_catalog(types: &[cloud::MachineType], limit: usize) -> Vec<serde_json::Value> {
+    let mut out: Vec<Vec<serde_json::Value>> = vec![Vec::new()];
+    let mut bytes = 2;
+    for t in types {
+        let value = serde_json::to_value(t).unwrap_or_default();
+        let more = value.to_string().len() + 1;
+        if bytes + more > limit && bytes > 2 {
+            out.push(Vec::new());
+            bytes = 2;
+        }
+        bytes += more;
+        if let Some(last) = out.last_mut() {
+            last.push(value);
+        }
+    }
+    out.into_iter().map(serde_json::Value::Array).collect()
+}
+
+impl Leader {
+    /// The machine types, for every door. In several records only where one would
+    /// be too long: the version before reads the first alone.
+    pub fn save_catalog(&mut self, sh: &mut Shared, types: Vec<cloud::MachineType>) {
+        let state = &sh.cfg.cluster.state;
+        let limit = if self.fine { state.value_kb } else { state.today_kb };
+        let records = split_catalog(&types, (limit * 1024.0) as usize);
+        let changes: Vec<Change> = records
+            .into_iter()
+            .enumerate()
+            .map(|(n, value)| Change::Put { key: catalog_key(n), value, lease: None })
+            .collect();
+        for some in changes.chunks(state.txn_ops.min(8)) {
+            let txn = Txn { conds: vec![self.leader_cond()], changes: some.to_vec() };
+            sh.state_call(Purpose::Leader(LeaderCall::SaveCatalog), StateOp::Txn(txn));
+        }
+    }
+
+    pub fn save_fleet(&mut self, sh: &mut Shared, mut rec: FleetRecord) {
+        // Many kinds of machines, or hundreds of each, make the history long; a
+        // record past the limit would be rejected window after window.
+        let limit = sh.cfg.cluster.state.value_bytes();
+        let too_long = |rec: &FleetRecord| serde_json::to_string(rec).map_or(0, |s| s.len()) > limit;
+        while too_long(&rec) && rec.history.shorten() {}
+        // Users name classes as they like; learned run times are the least loss.
+        while too_long(&rec) && rec.ratios.pop_last().is_some() {}
+        while too_long(&rec) && rec.counts.pop_last().is_some() {}
+        let txn = Txn {
+            conds: vec![self.leader_cond()],
+            changes: vec![Change::Put {
+                key: "fleet".into(),
+                value: serde_json::to_value(rec).unwrap_or_default(),
+                lease: None,
+            }],
+        };
+        sh.state_call(Purpose::Leader(LeaderCall::SaveFleet), StateOp::Txn(txn));
+    }
+}
--- /dev/null
+++ b/src/core/ljobs.rs
@@ -0,0 +1,197 @@
+//! Live jobs that may run, as the leader keeps them.
+
+use super::attempts::LAttempt;
+use super::leader::Leader;
+use super::model::{Ms, Spec, TaskSet};
+use super::progress::Chunk;
+use super::shared::Shared;
+use crate::wire::peer::HaveState;
+use crate::wire::state::JobState;
+use std::collections::{BTreeSet, HashSet};
+use std::sync::Arc;
+
+#[derive(Debug)]
+pub struct LJob {
+    pub spec: Arc<Spec>,
+    pub team: usize,
+    pub done: TaskSet,
+    pub(super) recorded: TaskSet,
+    /// Done but not yet in a record.
+    pub(super) unrecorded: Vec<u32>,
+    pub(super) recording: bool,
+    /// Records of its progress.
+    pub(super) chunks: BTreeSet<Chunk>,
+    /// Tasks with an attempt, or waiting in `retry`.
+    pub issued: TaskSet,
+    pub(super) next: u32,
+    pub retry: Vec<u32>,
+    /// Times that tasks failed without any having succeeded since.
+    pub fails: u32,
+    pub failed_on: HashSet<u32>,
+    pub hold_until: Ms,
+    /// Within its team's guarantee, with the team's earlier jobs.
+    pub within: bool,
+    /// Time of day since when it could be started.
+    pub ready_ms: u64,
+    pub(super) finish_busy: bool,
+    pub(super) finish_at: Ms,
+}
+
+impl LJob {
+    pub(super) fn new(spec: Arc<Spec>, team: usize, ready_ms: u64) -> LJob {
+        let n = spec.tasks;
+        LJob {
+            team,
+            done: TaskSet::with_room(n),
+            recorded: TaskSet::with_room(n),
+            unrecorded: Vec::new(),
+            recording: false,
+            chunks: BTreeSet::new(),
+            issued: TaskSet::with_room(n),
+            next: 0,
+            retry: Vec::new(),
+            fails: 0,
+            failed_on: HashSet::new(),
+            hold_until: 0,
+            within: false,
+            ready_ms,
+            finish_busy: false,
+            finish_at: 0,
+            spec,
+        }
+    }
+
+    /// The next task that needs an attempt.
+    pub fn peek(&mut self) -> Option<u32> {
+        while let Some(&t) = self.retry.last() {
+            if !self.done.contains(t) {
+                return Some(t);
+            }
+            self.retry.pop();
+        }
+        while self.next < self.spec.tasks {
+            if !self.done.contains(self.next) && !self.issued.contains(self.next) {
+                return Some(self.next);
+            }
+            self.next += 1;
+        }
+        None
+    }
+
+    /// Takes the task that `peek` showed.
+    pub fn take(&mut self) -> Option<u32> {
+        let t = self.peek()?;
+        if self.retry.last() == Some(&t) {
+            self.retry.pop();
+        } else {
+            self.next += 1;
+        }
+        self.issued.insert(t);
+        Some(t)
+    }
+
+    /// Tasks without an attempt, at most `most`.
+    pub fn waiting(&self, most: u32) -> u32 {
+        let mut n = self.retry.iter().filter(|t| !self.done.contains(**t)).count() as u32;
+        let mut t = self.next;
+        while n < most && t < self.spec.tasks {
+            n += (!self.done.contains(t) && !self.issued.contains(t)) as u32;
+            t += 1;
+        }
+        n.min(most)
+    }
+}
+
+impl Leader {
+    pub(super) fn follow_jobs(&mut self, sh: &mut Shared) {
+        let mut changed = std::mem::take(&mut sh.jobs_changed);
+        changed.sort_unstable();
+        changed.dedup();
+        for ix in changed {
+            self.follow_job(sh, ix);
+            self.round_due = true;
+        }
+    }
+
+    pub(super) fn follow_job(&mut self, sh: &mut Shared, ix: u32) {
+        let job = sh.job(ix);
+        let id = sh.job_names.name(ix).clone();
+        if job.state != JobState::Live {
+            let known = self.jobs.remove(&ix);
+            let left = self.progress.remove(&id);
+            for id in self.attempts.of_job(ix) {
+                if let Some(a) = self.attempts.get_mut(id) {
+                    a.want = false;
+                    self.blocks[a.block as usize].dirty = true;
+                }
+            }
+            // The bits of a final job are of no use to anyone. A job of many
+            // tasks has more of them than go along with its last record.
+            let mut chunks: BTreeSet<Chunk> = known.map(|j| j.chunks).unwrap_or_default();
+            chunks.extend(left.into_iter().flatten().map(|(c, _)| c));
+            self.trash.extend(chunks.into_iter().map(|c| c.key(&id)));
+            return;
+        }
+        if job.links.doomed {
+            return self.withdraw_later(ix);
+        }
+        // Not all that it awaits is on record as done: it takes no part in
+        // anything, and no task of it may start. Once all is, that is final.
+        if job.links.open > 0 || self.jobs.contains_key(&ix) {
+            return;
+        }
+        let Some(spec) = job.spec.clone() else { return };
+        let Some(team) = sh.cfg.cluster.teams.iter().position(|t| t.name == spec.team) else {
+            tracing::error!(id, "accepted job of an unknown team");
+            return;
+        };
+        let mut j = LJob::new(spec, team, sh.ready_ms(ix));
+        for (chunk, bits) in self.progress.remove(&id).unwrap_or_default() {
+            j.done.add_hex(chunk.first_word(), &bits);
+            j.recorded.add_hex(chunk.first_word(), &bits);
+            j.chunks.insert(chunk);
+        }
+        self.jobs.insert(ix, j);
+    }
+
+    /// Learned run time of the job's tasks, seconds.
+    pub fn expected_s(&self, spec: &Spec) -> f64 {
+        spec.estimate_s * self.ratios.get(&spec.class).copied().unwrap_or(1.0)
+    }
+
+    pub fn new_attempt(&mut self, job: u32, task: u32, machine: u32, block: u32) {
+        let Some(j) = self.jobs.get(&job) else { return };
+        let a = LAttempt {
+            job,
+            task,
+            block,
+            machine: Some(machine),
+            bind: true,
+            want: true,
+            state: HaveState::Bound,
+            need: j.spec.need(),
+            team: Some(j.team),
+            ran_ms: 0,
+            serial: u64::MAX,
+        };
+        self.attempts.insert(self.next_attempt, a);
+        self.next_attempt += 1;
+        self.blocks[block as usize].dirty = true;
+    }
+
+    /// Puts a task back in line once an attempt at it is gone. An older attempt
+    /// that was still in a record may go while a newer one runs; the task is
+    /// then in good hands, and a third attempt would run it twice.
+    pub(super) fn requeue(&mut self, job: u32, task: u32) {
+        self.round_due = true;
+        if self.attempts.has_task(job, task) {
+            return;
+        }
+        if let Some(j) = self.jobs.get_mut(&job)
+            && !j.done.contains(task)
+            && !j.retry.contains(&task)
+        {
+            j.retry.push(task);
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,18 +6,23 @@
 //! plays the same way every time.
 
 pub mod attempts;
+pub mod blocks;
 pub mod dialogue;
 pub mod door;
+pub mod exchange;
 pub mod fleet;
 pub mod forecast;
 pub mod grants;
 pub mod holder;
+pub mod keeping;
 pub mod leader;
+pub mod ljobs;
 pub mod model;
 pub mod picture;
 pub mod pipelines;
 pub mod plan;
 pub mod progress;
+pub mod rebuild;
 pub mod shared;
 pub mod shelves;
 pub mod sync;
--- a/src/core/progress.rs
+++ b/src/core/progress.rs
@@ -1,7 +1,8 @@
 //! Recording what is done: bits of tasks while a job runs, and its final state.
 //! Only what is on record is cleared from the machines.
 
-use super::leader::{LJob, Leader, LeaderCall};
+use super::leader::{Leader, LeaderCall};
+use super::ljobs::LJob;
 use super::model::Ms;
 use super::shared::Shared;
 use super::sync::job_key;
--- /dev/null
+++ b/src/core/rebuild.rs
@@ -0,0 +1,154 @@
+//! What a new leader starts from: the records, and what they say of jobs, of
+//! attempts and of the fleet.
+
+use super::attempts::LAttempt;
+use super::leader::{FleetRecord, Leader, LeaderCall, Loading};
+use super::model::Res;
+use super::progress::Chunk;
+use super::shared::Shared;
+use super::{Purpose, StateOp, StateResult};
+use crate::wire::peer::HaveState;
+use crate::wire::state::{ShelfMachine, ShelfRecord};
+
+impl Leader {
+    pub(super) fn load(&mut self, sh: &mut Shared) {
+        if sh.now < self.load_retry {
+            return;
+        }
+        for i in 0..3 {
+            if self.loading[i] != Loading::Start {
+                continue;
+            }
+            self.loading[i] = Loading::Busy;
+            match i {
+                0 => self.list(sh, LeaderCall::Places, "place/", None),
+                1 => self.list(sh, LeaderCall::Progress, "progress/", None),
+                _ => sh.state_call(Purpose::Leader(LeaderCall::Fleet), StateOp::Get("fleet".into())),
+            }
+        }
+        if self.loading.iter().all(|l| *l == Loading::Done) {
+            self.active = true;
+            self.active_at = sh.now;
+            let all: Vec<u32> = (0..sh.jobs.len() as u32).collect();
+            for ix in all {
+                self.follow_job(sh, ix);
+            }
+            sh.jobs_changed.clear();
+            self.settle_inherited();
+            tracing::info!(
+                term = self.term,
+                jobs = self.jobs.len(),
+                attempts = self.attempts.len(),
+                took_ms = sh.now - self.since,
+                "leader has read the records"
+            );
+        }
+    }
+
+    pub(super) fn list(
+        &mut self,
+        sh: &mut Shared,
+        call: LeaderCall,
+        prefix: &str,
+        since: Option<String>,
+    ) {
+        let prefix = prefix.to_string();
+        sh.state_call(Purpose::Leader(call), StateOp::List { prefix, since, most: 1000 });
+    }
+
+    /// What the records list is taken over, unless it is done.
+    pub(super) fn settle_inherited(&mut self) {
+        self.attempts.keep_newest();
+        for a in self.attempts.values_mut() {
+            match self.jobs.get_mut(&a.job) {
+                Some(j) => {
+                    j.issued.insert(a.task);
+                    a.want = !j.done.contains(a.task);
+                }
+                None => a.want = false,
+            }
+        }
+    }
+
+    pub(super) fn take_shelf(&mut self, sh: &mut Shared, key: &str, rec: ShelfRecord) {
+        let Some(block) = key.split('/').nth(1) else { return };
+        let Some(b) = sh.blocks.iter().position(|b| b.name == block) else { return };
+        let zone = sh.blocks[b].zone.clone();
+        for m in &rec.machines {
+            let type_name = rec.types.get(m.1 as usize).map_or("", String::as_str);
+            let ix = self.fleet.put_known(sh, &m.0, type_name, &zone, m.is(ShelfMachine::SPOT));
+            if let Some(known) = self.fleet.machines.get_mut(&ix) {
+                known.isolated |= m.is(ShelfMachine::ISOLATED);
+                known.confirmed = true;
+                known.recorded |= !m.3.is_empty();
+            }
+            for (job, task, id) in m.tasks(rec.base) {
+                let Some(j) = rec.jobs.get(job) else { continue };
+                let Some(job) = sh.job_ix(&j.0) else { continue };
+                self.attempts.insert(
+                    id,
+                    LAttempt {
+                        job,
+                        task,
+                        block: b as u32,
+                        machine: Some(ix),
+                        bind: false,
+                        want: true,
+                        state: HaveState::Bound,
+                        need: Res { cpus: j.2, gpus: j.3, mem: j.4 },
+                        team: sh.cfg.cluster.teams.iter().position(|t| t.name == j.1),
+                        ran_ms: 0,
+                        serial: u64::MAX,
+                    },
+                );
+            }
+        }
+    }
+
+    pub(super) fn on_load(&mut self, sh: &mut Shared, i: usize, result: StateResult) {
+        match result {
+            StateResult::Page(p) => {
+                let last = p.items.last().map(|i| i.key.clone());
+                for item in p.items {
+                    if i == 0 {
+                        match serde_json::from_value(item.value) {
+                            Ok(rec) => self.take_shelf(sh, &item.key, rec),
+                            Err(e) => tracing::error!(key = item.key, %e, "unreadable record"),
+                        }
+                    } else {
+                        let Some((id, chunk)) = Chunk::of_key(&item.key) else { continue };
+                        let Some(bits) = item.value.as_str() else { continue };
+                        // Only ever written once the smaller limits were met.
+                        self.fine |= chunk.is_fine();
+                        let list = self.progress.entry(id.to_string()).or_default();
+                        list.push((chunk, bits.to_string()));
+                    }
+                }
+                if p.more && last.is_some() {
+                    if i == 0 {
+                        self.list(sh, LeaderCall::Places, "place/", last);
+                    } else {
+                        self.list(sh, LeaderCall::Progress, "progress/", last);
+                    }
+                    return;
+                }
+                self.loading[i] = Loading::Done;
+            }
+            StateResult::Item(item) if i == 2 => {
+                let rec: FleetRecord = serde_json::from_value(item.value).unwrap_or_default();
+                self.ratios = rec.ratios;
+                self.fleet.resume(sh, rec.at_ms, rec.history);
+                self.loading[2] = Loading::Done;
+            }
+            StateResult::Missing if i == 2 => {
+                // No window has ever begun: there is no fleet to wait for.
+                self.fleet.first(sh);
+                self.loading[2] = Loading::Done;
+            }
+            _ => {
+                self.loading[i] = Loading::Start;
+                self.load_retry = sh.now + sh.jitter(200);
+            }
+        }
+    }
+}
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -319,8 +319,9 @@
         w.state.down = true;
         w.run(support::CANCEL_MS + 8_000);
         w.state.down = false;
+        // The one that knows nothing yet is asked first.
         for n in [4, 3, 2] {
-            for node in 0..3 {
+            for node in [leader, (door + 1) % 3, door] {
                 let r = w.ask(node, HttpCall::Status(id(n)));
                 w.run(15);
                 if let Some(a) = w.answers.get(&r) {
@@ -347,11 +348,11 @@
     let door = (leader + 1) % 3;
     w.slow_watch.insert(door, 120_000);
     w.run(3_000);
-    w.cancel(leader, &id(1));
-    // Nobody else passes it on: what is asked is the door's own doing.
-    for n in (0..3).filter(|n| *n != door) {
-        w.crash(n, 200_000);
-    }
+    // Nobody else passes it on: what is answered is the door's own doing.
+    w.crash(leader, 200_000);
+    let other = (leader + 2) % 3;
+    assert_eq!(w.cancel(other, &id(1)), 200);
+    w.crash(other, 200_000);
     for _ in 0..30 {
         w.run(2_000);
         w.status(door, &id(5));
