Stages inherit the deadline and priority of the jobs that need them

Cause: only the last stage of a pipeline has a deadline, and the stages before it are of idle priority, so that they queued behind all else while its time ran. Ruled out: no other rule of the order was touched; waiting jobs cost nothing. Change: a job's latest finish is the earliest over those that need it less their expected run, image and 4 s of handover; its priority is the highest of theirs.

--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -7,6 +7,7 @@
 use super::leader::Leader;
 use super::ljobs::LJob;
 use super::model::{JobOrder, Res, Spec};
+use super::pipelines::Inherited;
 use super::shared::Shared;
 use super::window::{allowed, fit_score};
 use crate::config::Objective;
@@ -154,6 +155,7 @@
             sum.add(&need);
             within.insert(ix, sum.cpus <= t.cpus + 1e-6 && sum.gpus <= t.gpus + 1e-6);
         }
+        let heirs = self.heirs(sh);
         let now = sh.now;
         let mut list: Vec<(JobOrder, u32)> = Vec::new();
         let wall = sh.wall;
@@ -168,8 +170,16 @@
                 Clock { age_s, waited_s: j.ready_ms.saturating_sub(j.spec.at_ms) as f64 / 1000.0 };
             let next = next_start(&sh.cfg.cluster.objectives, &j.spec, clock, within[ix], run_s);
             j.within = within[ix];
+            // What a pipeline's end needs in time, each stage needs the earlier.
+            let heir = heirs.get(ix);
+            j.priority = heir.map_or(j.spec.priority, |h| h.priority);
+            let by = heir.and_then(|h| h.finish_by).map(|by| by - wall as f64 / 1000.0 - run_s);
+            let next = match (next, by.filter(|by| *by >= 0.0)) {
+                (Some(own), Some(by)) => Some(own.min(by)),
+                (own, by) => own.or(by),
+            };
             let order = JobOrder {
-                priority: std::cmp::Reverse(j.spec.priority),
+                priority: std::cmp::Reverse(j.priority),
                 late: next.is_none(),
                 slack_ms: (next.unwrap_or(-age_s) * 1000.0) as i64,
             };
@@ -179,6 +189,15 @@
         list.into_iter().map(|(_, ix)| ix).collect()
     }
 
+    /// What jobs with others behind them inherit from those.
+    fn heirs(&self, sh: &Shared) -> HashMap<u32, Inherited> {
+        let mut known = HashMap::new();
+        for ix in self.jobs.keys().filter(|ix| !sh.job(**ix).links.after.is_empty()) {
+            self.inherited(sh, *ix, &mut known);
+        }
+        known
+    }
+
     pub fn round(&mut self, sh: &mut Shared) {
         if sh.types.is_empty() {
             return;
@@ -336,7 +355,7 @@
                     .filter_map(|id| {
                         let a = self.attempts.get(*id).filter(|a| a.want)?;
                         let v = self.jobs.get(&a.job)?;
-                        let lower = unserved && v.spec.priority < spec.priority;
+                        let lower = unserved && v.priority < j.priority;
                         let beyond = within
                             && v.team != team
                             && used[v.team].cpus - a.need.cpus >= sh.cfg.cluster.teams[v.team].cpus;
--- a/src/core/ljobs.rs
+++ b/src/core/ljobs.rs
@@ -2,7 +2,7 @@
 
 use super::attempts::LAttempt;
 use super::leader::Leader;
-use super::model::{Ms, Spec, TaskSet};
+use super::model::{Ms, Priority, Spec, TaskSet};
 use super::progress::Chunk;
 use super::shared::Shared;
 use crate::wire::peer::HaveState;
@@ -33,6 +33,8 @@
     pub within: bool,
     /// Time of day since when it could be started.
     pub ready_ms: u64,
+    /// Its own priority, or a higher one of a job that needs it.
+    pub priority: Priority,
     pub(super) finish_busy: bool,
     pub(super) finish_at: Ms,
 }
@@ -55,6 +57,7 @@
             hold_until: 0,
             within: false,
             ready_ms,
+            priority: spec.priority,
             finish_busy: false,
             finish_at: 0,
             spec,
--- a/src/core/pipelines.rs
+++ b/src/core/pipelines.rs
@@ -17,12 +17,17 @@
 //! such a job first has it written, so that no node calls it live again.
 
 use super::leader::{Leader, LeaderCall};
-use super::model::Ms;
+use super::model::{Ms, Priority, Spec};
 use super::shared::Shared;
 use super::sync::job_key;
 use super::{Purpose, StateOp, StateResult};
 use crate::wire::state::{Change, Cond, JobRecord, JobState, Txn};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap, HashSet};
+
+/// What a pipeline's next stage takes beside its run: recorded, granted and told
+/// to a machine; and the pace of its image.
+const HANDOVER_S: f64 = 4.0;
+const FETCH_GB_PER_S: f64 = 0.5;
 
 /// A job's place among others.
 #[derive(Debug, Default)]
@@ -113,6 +118,15 @@
     retry_at: Ms,
 }
 
+/// What a job inherits from those that need it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Inherited {
+    pub priority: Priority,
+    /// Time of day, in seconds, by which it has to be done so that all after it
+    /// can meet their deadlines.
+    pub finish_by: Option<f64>,
+}
+
 impl Leader {
     /// Notes that a live job is to be withdrawn.
     pub(super) fn withdraw_later(&mut self, ix: u32) {
@@ -156,4 +170,43 @@
             self.cascade.retry_at = sh.now + sh.jitter(150);
         }
     }
+
+    /// What a stage of a pipeline is taken to last: its run, the fetch of its
+    /// image, and the time between its predecessor's last success and its start.
+    fn stage_s(&self, spec: &Spec) -> f64 {
+        self.expected_s(spec) + spec.image_gb / FETCH_GB_PER_S + HANDOVER_S
+    }
+
+    /// What the job inherits through the whole chain of those that need it.
+    /// `known` keeps what has been found, so that a round looks at each job of
+    /// a pipeline once.
+    pub(super) fn inherited(&self, sh: &Shared, ix: u32, known: &mut HashMap<u32, Inherited>) {
+        let mut path = vec![ix];
+        // Records of another hand could name each other in a ring.
+        let mut on_path = HashSet::from([ix]);
+        while let Some(&at) = path.last() {
+            let job = sh.job(at);
+            let (Some(spec), false) = (&job.spec, known.contains_key(&at)) else {
+                path.pop();
+                continue;
+            };
+            let after = || job.links.after.iter().filter(|a| sh.job(**a).spec.is_some());
+            if let Some(open) = after().find(|a| !known.contains_key(a) && !on_path.contains(a)) {
+                on_path.insert(*open);
+                path.push(*open);
+                continue;
+            }
+            let due = spec.deadline_s.map(|d| spec.at_ms as f64 / 1000.0 + d);
+            let mut own = Inherited { priority: spec.priority, finish_by: due };
+            for (a, theirs) in after().filter_map(|a| Some((a, known.get(a)?))) {
+                own.priority = own.priority.max(theirs.priority);
+                let work = sh.job(*a).spec.as_ref().map_or(0.0, |s| self.stage_s(s));
+                if let Some(by) = theirs.finish_by.map(|by| by - work) {
+                    own.finish_by = Some(own.finish_by.map_or(by, |own| own.min(by)));
+                }
+            }
+            known.insert(at, own);
+            path.pop();
+        }
+    }
 }
