Bindings gather on one open shelf; gaps follow what is pressing

Ruled out: rooms (no job waits for one then), refused calls (12). Change: what is new goes to one open shelf a block; the gap counts shelves with something pressing; tidying has a share of its own. Also a story of a leader that gets no write through.

--- a/src/core/dialogue.rs
+++ b/src/core/dialogue.rs
@@ -284,7 +284,17 @@
             && job.state == JobState::Live
         {
             a.sent.get_or_insert((m.session, m.seq));
-            tracing::debug!(machine = m.name, task = task(), attempt = a.id, "run sent");
+            // How long it took to record, and then to be heard.
+            let (record_ms, wait_ms) =
+                (a.written_at.saturating_sub(a.bound_at), sh.now.saturating_sub(a.written_at));
+            tracing::debug!(
+                machine = m.name,
+                task = task(),
+                attempt = a.id,
+                record_ms,
+                wait_ms,
+                "run sent"
+            );
             commands.push(Command { op: Op::Start, task: task(), attempt: a.id, grace_s: None });
         } else if stoppable(a) && (withdrawn || !a.want) {
             let spec = job.spec.as_deref();
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -62,6 +62,10 @@
     /// Machines and tasks in the last picture.
     pub(super) size: usize,
     pub shelves: Vec<Shelf>,
+    /// The shelf that takes what is new.
+    pub open: u32,
+    /// No shelf is written before that only to leave out what is gone.
+    pub tidy_at: Ms,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -107,6 +111,9 @@
     pub(super) started: Option<Ms>,
     pub(super) ran: Ms,
     pub(super) expected_ms: Ms,
+    /// When it was bound here, and when that was on record.
+    pub(super) bound_at: Ms,
+    pub(super) written_at: Ms,
 }
 
 #[derive(Debug)]
@@ -268,6 +275,8 @@
                     sent_at: 0,
                     size: 0,
                     shelves: Vec::new(),
+                    open: 0,
+                    tidy_at: 0,
                 }
             });
             if granted.is_none() {
@@ -555,6 +564,7 @@
             }
         }
         let Some((_, ix)) = best else { return false };
+        shelves::open_shelf(sh, h, &self.machines, block);
         let Some(m) = &mut self.machines[ix] else { return false };
         let shelf = shelves::reserve(sh, h, m, job, &spec.team);
         m.attempts.push(Attempt {
@@ -574,6 +584,8 @@
             started: None,
             ran: 0,
             expected_ms: expected,
+            bound_at: sh.now,
+            written_at: 0,
         });
         let cache = sh.type_ix(&m.type_name).map_or(0.0, |t| sh.types[t].cache_gb);
         remember_image(&mut m.images, &spec.image, spec.image_gb, cache);
@@ -669,6 +681,8 @@
             started: None,
             ran: 0,
             expected_ms: 0,
+            bound_at: 0,
+            written_at: 0,
         });
     }
     out
--- a/src/core/shelves.rs
+++ b/src/core/shelves.rs
@@ -5,9 +5,10 @@
 //! goes out in one change, under every condition that it rests on; while it is
 //! under way, or its outcome in doubt, the next batch gathers. A shelf is full when
 //! its record nears the service's limit; further attempts go to the next, so
-//! that a machine may have attempts on several. The gap between
-//! two writes of a shelf widens with the number of shelves, so that all
-//! holders together keep within the service's rate.
+//! that a machine may have attempts on several. What is new goes to one shelf of
+//! a block as long as that has room, since each shelf written is a change: the
+//! gap between two writes widens with the shelves that have something pressing,
+//! not with all there are, so that all holders together keep within the rate.
 //!
 //! A record may be longer than the service takes by now: its limits have fallen,
 //! or are about to, and a holder of the version before wrote it. Such a record
@@ -32,6 +33,8 @@
 const MIN_GAP_MS: Ms = 100;
 /// What isn't pressing goes along with other changes, or after this time.
 const TIDY_MS: Ms = 4_000;
+/// Share of the changes that tidying may take, of all nodes together.
+const TIDY_SHARE: f64 = 0.15;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Write {
@@ -97,6 +100,8 @@
 
 /// Upper bounds of what each part adds to a record.
 const ATTEMPT_BYTES: usize = 24;
+/// What a job's or a machine's row takes, names of usual length given.
+const MOST_HEADER: usize = 100;
 
 fn machine_bytes(name: &str) -> usize {
     name.len() + 14
@@ -118,15 +123,68 @@
     format!("place/{block}/{shelf}")
 }
 
-/// A shelf that surely has room for one more attempt on this machine: its own
-/// one rather than others, others rather than a new one.
+/// Makes sure that the shelf which takes what is new has room for one more
+/// attempt. A shelf whose record lists much that is gone has the room of that,
+/// as its next write leaves it out.
+pub fn open_shelf(sh: &Shared, h: &mut HeldBlock, machines: &[Option<Machine>], block: u32) {
+    let most = limit(sh);
+    let spare = ATTEMPT_BYTES + 2 * MOST_HEADER;
+    if h.shelves.get(h.open as usize).is_some_and(|s| !s.long && s.bytes + spare <= most) {
+        return;
+    }
+    // What each shelf will hold once it is written anew.
+    let mut live = vec![HEAD_BYTES + RECORD_SLACK; h.shelves.len()];
+    let mut jobs: HashSet<(u32, u32)> = HashSet::new();
+    for m in machines.iter().flatten().filter(|m| m.block == block) {
+        let mut add = |s: u32, n: usize| {
+            if let Some(b) = live.get_mut(s as usize) {
+                *b += n;
+            }
+        };
+        let mut rows: HashSet<u32> = HashSet::new();
+        if let Some(s) = m.shelf
+            && (m.row_kept || m.has_state() || m.can_retire())
+        {
+            rows.insert(s);
+        }
+        for a in &m.attempts {
+            for s in [Some(a.shelf), a.moving].into_iter().flatten() {
+                rows.insert(s);
+                add(s, ATTEMPT_BYTES);
+                if jobs.insert((s, a.job)) {
+                    add(s, job_bytes(sh.job_names.name(a.job), &a.team));
+                }
+            }
+        }
+        for s in rows {
+            add(s, machine_bytes(&m.name));
+        }
+    }
+    let free = (0..h.shelves.len()).filter(|s| !h.shelves[*s].long).min_by_key(|s| live[*s]);
+    // One that is nearly full again at once would only add a change.
+    match free.filter(|s| live[*s] * 3 <= most * 2) {
+        Some(s) => {
+            h.shelves[s].bytes = live[s];
+            h.shelves[s].jobs = jobs.iter().filter(|(at, _)| *at as usize == s).map(|j| j.1).collect();
+            h.open = s as u32;
+        }
+        None => {
+            h.shelves.push(Shelf::new(0, 0));
+            h.open = h.shelves.len() as u32 - 1;
+        }
+    }
+}
+
+/// A shelf that surely has room for one more attempt on this machine: the open
+/// one, or any other that has.
 pub fn reserve(sh: &Shared, h: &mut HeldBlock, m: &mut Machine, job: u32, team: &str) -> u32 {
     let header = job_bytes(sh.job_names.name(job), team);
     let row = ATTEMPT_BYTES + machine_bytes(&m.name);
     let most = limit(sh);
-    let fits = |s: &Shelf| s.bytes + row + if s.jobs.contains(&job) { 0 } else { header } <= most;
-    let own = m.shelf.filter(|s| h.shelves.get(*s as usize).is_some_and(fits));
-    let found = own.or_else(|| h.shelves.iter().position(fits).map(|s| s as u32));
+    let fits =
+        |s: &Shelf| !s.long && s.bytes + row + if s.jobs.contains(&job) { 0 } else { header } <= most;
+    let open = Some(h.open).filter(|s| h.shelves.get(*s as usize).is_some_and(fits));
+    let found = open.or_else(|| h.shelves.iter().position(fits).map(|s| s as u32));
     let s = found.unwrap_or_else(|| {
         h.shelves.push(Shelf::new(0, 0));
         h.shelves.len() as u32 - 1
@@ -250,10 +308,11 @@
     n.checked_ilog10().unwrap_or(0) as usize + 2
 }
 
-/// Time between two writes of a shelf when each node has as many as we have.
-fn gap_ms(sh: &Shared, own: usize) -> Ms {
+/// Time between two writes of one of `own` shelves when each node has as many,
+/// and all together take a share of the changes.
+fn gap_ms(sh: &Shared, own: usize, share: f64) -> Ms {
     let nodes = sh.cfg.peers.len() + 1;
-    let rate = (sh.cfg.cluster.state.write_rps * RATE_SHARE).max(0.1);
+    let rate = (sh.cfg.cluster.state.write_rps * share).max(0.1);
     ((own * nodes) as f64 * 1000.0 / rate).clamp(MIN_GAP_MS as f64, 5_000.0) as Ms
 }
 
@@ -261,13 +320,7 @@
 pub fn write_all(sh: &mut Shared, blocks: &mut [Option<HeldBlock>], machines: &mut [Option<Machine>]) {
     let Some(term) = sh.leader.as_ref().map(|(_, t)| *t) else { return };
     let now = sh.now;
-    let mut own = 0;
-    let mut open = false;
-    for h in blocks.iter().flatten() {
-        own += h.shelves.iter().filter(|s| !s.jobs.is_empty()).count();
-        open |= h.load == Load::Done;
-    }
-    if !open {
+    if !blocks.iter().flatten().any(|h| h.load == Load::Done) {
         return;
     }
     for (b, h) in blocks.iter_mut().enumerate() {
@@ -305,6 +358,7 @@
             *needs.entry((m.block, shelf)).or_default() |= m.can_retire();
         }
     }
+    let pressing = needs.values().filter(|press| **press).count().max(1);
     for (b, h) in blocks.iter_mut().enumerate() {
         let Some(h) = h.as_mut().filter(|h| h.load == Load::Done) else { continue };
         for s in 0..h.shelves.len() {
@@ -323,7 +377,7 @@
             if shelf.write != Write::Idle || now < shelf.next_at {
                 continue;
             }
-            let tidy = shelf.stale.is_some_and(|at| at + TIDY_MS < now);
+            let tidy = shelf.stale.is_some_and(|at| at + TIDY_MS < now) && now >= h.tidy_at;
             let press = match needs.get(&key) {
                 Some(press) => *press,
                 None if tidy => false,
@@ -341,7 +395,10 @@
                 return;
             }
             let shelf = &mut h.shelves[s];
-            shelf.next_at = now + gap_ms(sh, own);
+            shelf.next_at = now + gap_ms(sh, pressing, RATE_SHARE);
+            if !press {
+                h.tidy_at = now + gap_ms(sh, 1, TIDY_SHARE);
+            }
             write(sh, h, machines, key, term);
         }
     }
@@ -512,7 +569,9 @@
                 let Some(m) = m.as_mut().filter(|m| m.block == w.block) else { continue };
                 for a in &mut m.attempts {
                     if a.shelf == w.shelf {
-                        a.written |= w.attempts.contains(&a.id);
+                        if w.attempts.contains(&a.id) {
+                            (a.written, a.written_at) = (true, sh.now);
+                        }
                     } else if a.moving == Some(w.shelf) && w.moved.contains(&a.id) {
                         emptier.push(a.shelf);
                         a.move_to(w.shelf);
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -196,9 +196,10 @@
     let first = submit(&mut w, 0, &stage(1, &[]));
     assert_eq!(first.0, 201);
     assert_eq!(submit(&mut w, 1, &stage(2, &[1])).0, 201);
-    // Its first answer was lost, and its user repeats it elsewhere. By now the
-    // job it needs can't be told from one that never was there.
-    let mut again = stage(1, &[99]);
+    // The first answer was lost, and the user repeats it elsewhere, with a body
+    // that a new job would be refused for.
+    assert_eq!(submit(&mut w, 0, &stage(5, &[])).0, 201);
+    let mut again = stage(5, &[99]);
     again["crew"] = json!("nobody");
     let (status, body) = submit(&mut w, 1, &again);
     assert!(status == 200 && body.contains("queued"), "{status} {body}");
@@ -360,6 +361,26 @@
     w.fair();
 }
 
+/// A leader may keep its lease and get no write through. Who is asked does not
+/// wait for it.
+#[test]
+fn a_door_withdraws_what_the_leader_can_not() {
+    let mut w = world(25);
+    w.run_ms = 200_000;
+    pipeline(&mut w);
+    let leader = w.leader().unwrap();
+    w.slow_txn.insert(leader, 90_000);
+    let door = (leader + 1) % 3;
+    assert_eq!(w.cancel(door, &id(1)), 200);
+    w.run(support::CANCEL_MS);
+    assert_eq!(w.leader(), Some(leader));
+    assert_eq!(state_of(&w, 5), "l", "nobody was asked yet");
+    for node in [(leader + 2) % 3, leader, door] {
+        assert_eq!(w.status(node, &id(5)), "withdrawn");
+    }
+    w.fair();
+}
+
 /// More jobs behind a cancelled one than many transactions take, while leaders
 /// come and go and more join: all withdrawn in time.
 #[test]
