Bits of unfinished jobs take a fifth of the changes, the fullest first

Ruled out: bindings, which take a fraction since they gather. Change: progress waits until its changes fit a fifth of the rate, most bits first; what ends a job goes at once, as before.

--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -197,7 +197,7 @@
                     }
                 }
                 if !ok {
-                    self.record_at = sh.now + sh.jitter(250);
+                    self.record_at = self.record_at.max(sh.now + sh.jitter(250));
                 }
                 if matches!(result, StateResult::Bad) {
                     // In parts it fits; a no for anything else is not asked for
--- a/src/core/progress.rs
+++ b/src/core/progress.rs
@@ -17,6 +17,10 @@
 /// settings take.
 const FINE: u32 = 2_048;
 const RECORD_GAP_MS: Ms = 150;
+/// Share of the service's changes that bits of unfinished jobs may take. They
+/// only spare work if the leader and a machine are lost together; meanwhile a
+/// success is safe on its machine.
+const RECORD_SHARE: f64 = 0.2;
 
 /// One record of a job's progress: `progress/<id>/<n>`, or a part of that,
 /// `progress/<id>/<n>.<part>`.
@@ -95,16 +99,19 @@
         for ix in finish {
             self.finish(sh, ix);
         }
-        if now < self.record_at + RECORD_GAP_MS || !sh.can_write(1) {
+        if now < self.record_at || !sh.can_write(1) {
             return;
         }
         let max_ops = sh.cfg.cluster.state.txn_ops.min(8);
         let mut txn = Txn { conds: vec![self.leader_cond()], changes: Vec::new() };
         let mut items = Vec::new();
-        for (ix, j) in &mut self.jobs {
-            if j.unrecorded.is_empty() || j.recording || j.done.len() == j.spec.tasks {
-                continue;
-            }
+        let open = |j: &LJob| !j.unrecorded.is_empty() && !j.recording && j.done.len() < j.spec.tasks;
+        // Where a change carries the most first.
+        let mut due: Vec<(usize, u32)> =
+            self.jobs.iter().filter(|(_, j)| open(j)).map(|(ix, j)| (j.unrecorded.len(), *ix)).collect();
+        due.sort_unstable_by(|a, b| b.cmp(a));
+        for (_, ix) in due {
+            let Some(j) = self.jobs.get_mut(&ix) else { continue };
             let parts = in_parts(sh, j.spec.tasks, self.fine);
             let chunks: BTreeSet<Chunk> = j.unrecorded.iter().map(|t| Chunk::of(*t, parts)).collect();
             if txn.changes.len() + chunks.len() > max_ops {
@@ -116,17 +123,18 @@
                 let (now, later): (Vec<u32>, Vec<u32>) =
                     j.unrecorded.iter().partition(|t| few.contains(&Chunk::of(**t, parts)));
                 j.unrecorded = later;
-                push_chunks(sh, *ix, j, &few, &mut txn);
-                items.push((*ix, now));
+                push_chunks(sh, ix, j, &few, &mut txn);
+                items.push((ix, now));
                 break;
             }
-            push_chunks(sh, *ix, j, &chunks, &mut txn);
-            items.push((*ix, std::mem::take(&mut j.unrecorded)));
+            push_chunks(sh, ix, j, &chunks, &mut txn);
+            items.push((ix, std::mem::take(&mut j.unrecorded)));
         }
         if items.is_empty() {
             return self.empty_trash(sh);
         }
-        self.record_at = now;
+        let cost = txn.changes.len() as f64 * 1000.0 / (sh.cfg.cluster.state.write_rps * RECORD_SHARE);
+        self.record_at = now + RECORD_GAP_MS.max(cost as Ms);
         sh.state_call(Purpose::Leader(LeaderCall::Record { items }), StateOp::Txn(txn));
     }
 
@@ -164,7 +172,7 @@
         let keys: Vec<String> = t.keys.drain(..n).collect();
         let changes = keys.iter().map(|k| Change::Delete { key: k.clone() }).collect();
         let txn = Txn { conds: vec![self.leader_cond()], changes };
-        self.record_at = sh.now;
+        self.record_at = sh.now + RECORD_GAP_MS;
         sh.state_call(Purpose::Leader(LeaderCall::Forget { keys }), StateOp::Txn(txn));
     }
 
