--- a/src/core/progress.rs
+++ b/src/core/progress.rs
@@ -20,7 +20,7 @@
 /// Share of the service's changes that bits of unfinished jobs may take. They
 /// only spare work if the leader and a machine are lost together; meanwhile a
 /// success is safe on its machine.
-const RECORD_SHARE: f64 = 0.2;
+const RECORD_SHARE: f64 = 0.12;
 
 /// One record of a job's progress: `progress/<id>/<n>`, or a part of that,
 /// `progress/<id>/<n>.<part>`.
--- a/src/core/shelves.rs
+++ b/src/core/shelves.rs
@@ -29,12 +29,12 @@
 /// What a record takes beside its rows: names of fields and of a few types.
 const HEAD_BYTES: usize = 100;
 /// Share of the service's changes that bindings may take of all nodes together.
-const RATE_SHARE: f64 = 0.65;
+const RATE_SHARE: f64 = 0.5;
 const MIN_GAP_MS: Ms = 100;
 /// What isn't pressing goes along with other changes, or after this time.
 const TIDY_MS: Ms = 4_000;
 /// Share of the changes that tidying may take, of all nodes together.
-const TIDY_SHARE: f64 = 0.15;
+const TIDY_SHARE: f64 = 0.1;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Write {
