No debt after an outage; machines that could not be answered were not silent

What the state service refused in the outage, ends of jobs tried four times a second, was charged to the node's pace of changes, into minutes of debt. Ruled out: records (no error), links (pictures went on), the cloud. Change: a debt of a second at most; later tries the longer the outage; silence counts from when workers can be answered again, and surplus is drained only after that. The story fails without each of the three.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -401,8 +401,10 @@
                 && now > m.since + (boot * BOOT_FACTOR * 1000.0) as Ms
                 && m.heard.is_none()
                 && (m.starting || mute);
-            // What this leader never heard of has been silent since it leads.
-            let silent = now.saturating_sub(m.heard.unwrap_or(self.active_at.max(m.since)));
+            // What this leader never heard of has been silent since it leads; and
+            // while no worker could be answered, none was there to hear.
+            let heard = m.heard.unwrap_or(self.active_at.max(m.since));
+            let silent = now.saturating_sub(heard.max(sh.authority_since));
             // Listed once and no more, and silent: its return, once confirmed,
             // proves that it is gone.
             let vanished = m.missed >= 2 && silent > sh.fresh_ms;
@@ -496,7 +498,10 @@
                     self.fleet.rent(sh, offer);
                     missing -= 1;
                 }
-                if have > target && waiting == 0 {
+                // Right after an outage nothing is known of what machines could
+                // take: idle ones may only not have been heard yet.
+                let heard = now > sh.authority_since + sh.fresh_ms;
+                if have > target && waiting == 0 && heard {
                     let mut surplus = have - target;
                     for (ix, m) in &mut self.fleet.machines {
                         let idle = of_kind(m)
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -197,7 +197,7 @@
                     }
                 }
                 if !ok {
-                    self.record_at = self.record_at.max(sh.now + sh.jitter(250));
+                    self.record_at = self.record_at.max(sh.now + sh.retry_ms(250));
                 }
                 if matches!(result, StateResult::Bad) {
                     // In parts it fits; a no for anything else is not asked for
@@ -214,7 +214,7 @@
                     sh.put_job(&id, JobRecord::done(0, done_ms), revision);
                 } else if let Some(j) = self.jobs.get_mut(&job) {
                     j.finish_busy = false;
-                    j.finish_at = sh.now + sh.jitter(250);
+                    j.finish_at = sh.now + sh.retry_ms(250);
                 }
             }
             LeaderCall::Withdraw { list } => self.on_withdrawn(sh, list, result),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -244,6 +244,7 @@
     /// Everything that follows from the input, until nothing is left to do.
     fn settle(&mut self) {
         self.sh.find_scarce();
+        self.sh.follow_authority();
         for _ in 0..8 {
             self.sync.poll(&mut self.sh);
             self.term.poll(&mut self.sh);
--- a/src/core/pipelines.rs
+++ b/src/core/pipelines.rs
@@ -167,7 +167,7 @@
         } else {
             // One that its own user, or a door, has withdrawn meanwhile spoils
             // the batch until the watch tells; the others go without it then.
-            self.cascade.retry_at = sh.now + sh.jitter(150);
+            self.cascade.retry_at = sh.now + sh.retry_ms(150);
         }
     }
 
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -71,10 +71,12 @@
         self.tokens >= n.min(self.burst)
     }
 
-    /// Takes the tokens, into debt if need be.
+    /// Takes the tokens, into debt if need be, but never by more than a second's
+    /// worth: what an outage refuses again and again would add up to minutes in
+    /// which nothing may be written.
     pub fn take(&mut self, now: Ms, n: f64) {
         self.refill(now);
-        self.tokens -= n;
+        self.tokens = (self.tokens - n).max(-self.burst);
     }
 }
 
@@ -110,6 +112,8 @@
     /// When the newest answered read or watch of the records was sent.
     pub proof_at: Option<Ms>,
     pub state_ok_at: Ms,
+    /// Since when workers have been answered without a break.
+    pub authority_since: Ms,
     pub peers: HashMap<String, PeerView>,
     /// Tasks (done, running) per job, as the leader last told.
     pub counts: HashMap<String, (u32, u32)>,
@@ -160,6 +164,7 @@
             synced: false,
             proof_at: None,
             state_ok_at: now,
+            authority_since: now,
             peers: HashMap::new(),
             counts: HashMap::new(),
             counts_out: Vec::new(),
@@ -314,6 +319,13 @@
         }
     }
 
+    /// When to try again what the state service did not take: the later, the
+    /// longer it has not answered.
+    pub fn retry_ms(&mut self, base: Ms) -> Ms {
+        let age = self.state_age();
+        self.jitter(base + (age / 8).min(1_500))
+    }
+
     pub fn state_age(&self) -> u64 {
         self.now.saturating_sub(self.state_ok_at)
     }
@@ -383,6 +395,14 @@
         self.proof_at.is_some_and(|at| self.now < at + self.authority_ms)
     }
 
+    /// Without authority no worker is answered, and leases end. Their silence
+    /// counts only from when they can be heard again.
+    pub fn follow_authority(&mut self) {
+        if !self.has_authority() {
+            self.authority_since = self.now;
+        }
+    }
+
     pub fn block_of(&self, zone: &str, machine: &str) -> Option<u32> {
         block_of(&self.blocks, zone, machine)
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1414,6 +1414,36 @@
     w.fair();
 }
 
+/// What is tried again and again in a long outage must not be paid for after it:
+/// the node that leads writes and places as soon as it is over. And machines
+/// that nobody could answer meanwhile were not silent.
+#[test]
+fn a_long_outage_leaves_no_debt_and_costs_no_machine() {
+    let mut w = World::large(3, 92);
+    w.run_ms = 12_000;
+    w.run(5_000);
+    for i in 0..40 {
+        w.add_worker(i, support::ZONES[i % 2], false, 100);
+    }
+    w.run(9_000);
+    for id in 0..40 {
+        w.submit(id as usize % 3, &job(id, "t1", 3, 12.0));
+        w.run(100);
+    }
+    // More than all machines can take at once, so that none is surplus.
+    w.submit(0, &job(50, "t1", 600, 12.0));
+    w.run(4_000);
+    w.state.down = true;
+    w.run(60_000);
+    w.state.down = false;
+    let before = w.starts.len();
+    w.run(25_000);
+    assert!(w.starts.len() > before + 150, "{} starts after the outage", w.starts.len() - before);
+    assert!(w.returned.is_empty(), "{} machines returned", w.returned.len());
+    assert!(w.until_done("run-000050", 120_000));
+    w.fair();
+}
+
 /// The longer the history and the more kinds of machines, the longer the record
 /// of the fleet; past the limit no window would be kept any more.
 #[test]
