--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1414,6 +1414,64 @@
     w.fair();
 }
 
+/// A node several times slower than its peers, holder or leader, keeps what it
+/// can and harms nothing; when it gets still slower its blocks go elsewhere.
+#[test]
+fn a_node_several_times_slower_loses_and_doubles_nothing() {
+    for (seed, lag, leads) in [(93, 400, true), (94, 900, false), (95, 2_500, false), (96, 2_500, true)]
+    {
+        let mut w = busy_world(seed, 6);
+        w.run_ms = 8_000;
+        let leader = w.leader().unwrap();
+        let slow = if leads { leader } else { (leader + 1) % 3 };
+        w.lag.insert(slow, lag);
+        for id in 3..9 {
+            let node = (slow + 1 + id as usize % 2) % 3;
+            w.accept(node, &job(id, "t1", 4, 8.0));
+        }
+        w.run(20_000);
+        let other = (0..3).find(|n| *n != slow && *n != leader).unwrap();
+        w.crash(other, 5_000);
+        w.run(20_000);
+        assert_eq!(w.cancel((slow + 1) % 3, "run-000001"), 200);
+        for id in 3..9 {
+            assert!(w.until_done(&format!("run-{id:06}"), 150_000), "seed {seed}: job {id}");
+        }
+        w.lag.clear();
+        w.run(20_000);
+        w.fair();
+    }
+}
+
+/// Two zones are apart and packets between them wait; within the cut the leader,
+/// or another node, crashes. When the cut ends, all that waited arrives at once.
+#[test]
+fn a_zone_cut_with_packets_held_and_a_crash_in_it_harms_nothing() {
+    for (seed, cut_ms, leader_too) in [(97, 12_000, true), (98, 40_000, true), (99, 40_000, false)] {
+        let mut w = busy_world(seed, 6);
+        w.run_ms = 10_000;
+        for id in 3..7 {
+            w.accept(id as usize % 3, &job(id, "t1", 6, 10.0));
+        }
+        let leader = w.leader().unwrap();
+        w.part_zones();
+        w.run(4_000);
+        w.crash(if leader_too { leader } else { (leader + 1) % 3 }, 3_000);
+        w.run(cut_ms);
+        let now = w.leader().unwrap();
+        assert_eq!(w.cancel(now, "run-000002"), 200);
+        w.join_zones();
+        w.run(30_000);
+        for id in 3..7 {
+            assert!(w.until_done(&format!("run-{id:06}"), 150_000), "seed {seed}: job {id}");
+        }
+        for n in 0..3 {
+            assert_eq!(w.status(n, "run-000002"), "withdrawn");
+        }
+        w.fair();
+    }
+}
+
 /// What is tried again and again in a long outage must not be paid for after it:
 /// the node that leads writes and places as soon as it is over. And machines
 /// that nobody could answer meanwhile were not silent.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -346,7 +346,7 @@
     CloudRes { node: usize, inc: u64, call: u64, result: CloudResult },
     Frame { to: usize, inc: u64, frame: Frame },
     Report { worker: usize, id: u64, node: usize, report: Box<Report> },
-    Reply { worker: usize, id: u64, answer: Answer },
+    Reply { worker: usize, node: usize, id: u64, answer: Answer },
     User { req: u64, answer: Answer },
 }
 
@@ -396,6 +396,10 @@
     /// Nodes whose transactions are under way so long, and arrive then whatever
     /// has become of the node's connection.
     pub slow_txn: HashMap<usize, u64>,
+    /// Nodes that are slow: so long until they get to what reaches them.
+    pub lag: HashMap<usize, u64>,
+    /// What is held up between two zones that are apart.
+    parted: Option<Vec<Ev>>,
     /// How long frames between nodes take.
     pub frame_ms: u64,
     size: Size,
@@ -574,6 +578,8 @@
             slow: HashMap::new(),
             slow_watch: HashMap::new(),
             slow_txn: HashMap::new(),
+            lag: HashMap::new(),
+            parted: None,
             frame_ms: 2,
             size,
             longest_frame: 0,
@@ -624,7 +630,48 @@
         v.0["node"].as_str()?.strip_prefix('n')?.parse().ok()
     }
 
+    /// The two zones can't reach each other; what is sent waits on the way.
+    pub fn part_zones(&mut self) {
+        self.parted = Some(Vec::new());
+    }
+
+    /// What was held up arrives after all, in order.
+    pub fn join_zones(&mut self) {
+        for ev in self.parted.take().unwrap_or_default() {
+            self.push(1, ev);
+        }
+    }
+
+    fn crosses_zones(&self, ev: &Ev) -> bool {
+        let of_node = |n: usize| ZONES[n % 2];
+        let of_worker = |w: usize| self.workers[w].zone.as_str();
+        match ev {
+            Ev::Frame { to, frame, .. } => {
+                frame.from[1..].parse().is_ok_and(|from: usize| of_node(from) != of_node(*to))
+            }
+            Ev::Report { worker, node, .. } | Ev::Reply { worker, node, .. } => {
+                of_worker(*worker) != of_node(*node)
+            }
+            _ => false,
+        }
+    }
+
+    /// What a slow node still has before it when this reaches it.
+    fn lag_of(&self, ev: &Ev) -> u64 {
+        let node = match ev {
+            Ev::StateRes { node, .. } | Ev::CloudRes { node, .. } | Ev::Report { node, .. } => node,
+            Ev::Frame { to, .. } => to,
+            _ => return 0,
+        };
+        self.lag.get(node).copied().unwrap_or(0)
+    }
+
     fn push(&mut self, delay: u64, ev: Ev) {
+        if self.parted.is_some() && self.crosses_zones(&ev) {
+            self.parted.get_or_insert_default().push(ev);
+            return;
+        }
+        let delay = delay + self.lag_of(&ev);
         self.seq += 1;
         self.queue.insert((self.now + delay, self.seq), ev);
     }
@@ -644,7 +691,7 @@
                     if let Some((worker, id)) = self.worker_reqs.remove(&(node, req)) {
                         let d = 1 + self.rng.random_range(0..3);
                         if !self.lose_replies.contains(&worker) {
-                            self.push(d, Ev::Reply { worker, id, answer });
+                            self.push(d, Ev::Reply { worker, node, id, answer });
                         }
                     } else {
                         self.push(1, Ev::User { req, answer });
@@ -850,7 +897,7 @@
                 self.worker_reqs.insert((node, req), (worker, id));
                 self.step(node, Input::Http { req, call: HttpCall::Checkin(report) });
             }
-            Ev::Reply { worker, id, answer } => self.worker_reply(worker, id, answer),
+            Ev::Reply { worker, id, answer, .. } => self.worker_reply(worker, id, answer),
             Ev::User { req, answer } => {
                 self.hear(&answer);
                 self.answers.insert(req, answer);
