Reports of busy machines wait a part of their interval for work

Cause: a machine with tasks held its report for half a second, whatever the time to the next; with reports every 8 s it listened a sixteenth of it, and a run waited up to 5 s (p90 3.3 s from record to machine, debug log). Change: 0.15 of report_s, 0.5 to 1.5 s; with reports every 3 s it stays 0.5.

--- a/src/core/dialogue.rs
+++ b/src/core/dialogue.rs
@@ -11,7 +11,10 @@
 
 /// Reports of machines with room wait for work, so long at most.
 const HOLD_IDLE_MS: Ms = 2_500;
-const HOLD_BUSY_MS: Ms = 500;
+/// Those of machines that have tasks as well, a part of the time between two
+/// reports: where these are rare a machine would seldom listen.
+const HOLD_BUSY_SHARE: f64 = 0.15;
+const HOLD_BUSY_MS: std::ops::RangeInclusive<Ms> = 500..=1_500;
 
 impl Holder {
     pub fn checkin(&mut self, sh: &mut Shared, req: u64, r: Report) {
@@ -173,7 +176,8 @@
     if m.attempts.is_empty() {
         HOLD_IDLE_MS
     } else if m.used().share_of(&t.room) < 0.95 {
-        HOLD_BUSY_MS
+        let share = sh.cfg.cluster.workers.report_s * 1000.0 * HOLD_BUSY_SHARE;
+        (share as Ms).clamp(*HOLD_BUSY_MS.start(), *HOLD_BUSY_MS.end())
     } else {
         0
     }
--- a/tests/units.rs
+++ b/tests/units.rs
@@ -52,6 +52,47 @@
     }
 }
 
+#[test]
+fn announced_limits_count_from_the_start_and_useless_ones_are_named() {
+    let with = |next: &str| PLATFORM.replace("[cluster.cloud]", &format!("{next}\n[cluster.cloud]"));
+    let p = Platform::parse("f", PLATFORM).unwrap().cluster.state;
+    assert_eq!((p.value_kb, p.txn_ops, p.write_rps, p.today_kb), (8.0, 12, 20.0, 8.0));
+    let next = "[cluster.state.next]\nwrite_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 4";
+    let p = Platform::parse("f", &with(next)).unwrap().cluster.state;
+    assert_eq!((p.value_kb, p.txn_ops, p.write_rps, p.today_kb), (2.0, 4, 15.0, 8.0));
+    assert_eq!(p.rps, 150.0, "what is left out stays");
+    // Larger ones come later, if at all: until then today's hold.
+    let p = Platform::parse("f", &with("[cluster.state.next]\nvalue_kb = 64.0")).unwrap();
+    assert_eq!(p.cluster.state.value_kb, 8.0);
+    for (field, value) in [
+        ("value_kb", "0.5"),
+        ("value_kb", "nan"),
+        ("txn_ops", "1"),
+        ("write_rps", "0.0"),
+        ("rps", "-1.0"),
+    ] {
+        let text = with(&format!("[cluster.state.next]\n{field} = {value}"));
+        let e = Platform::parse("f", &text).unwrap_err().to_string();
+        assert!(e.contains(&format!("cluster.state.next.{field}")), "{e}");
+    }
+}
+
+/// Bits that were recorded in whole chunks and in parts are one set.
+#[test]
+fn keys_of_progress_are_read_in_both_layouts() {
+    use woadlever::core::progress::Chunk;
+    let read =
+        |key: &str| Chunk::of_key(key).map(|(id, c)| (id.to_string(), c.first_word(), c.is_fine()));
+    let id = "run-000001".to_string();
+    assert_eq!(read("progress/run-000001/2"), Some((id.clone(), 512, false)));
+    assert_eq!(read("progress/run-000001/2.3"), Some((id, 512 + 96, true)));
+    for bad in ["progress/run-000001/2.8", "progress/run-000001/x", "progress/1", "progress/r/9999999"] {
+        assert_eq!(read(bad), None, "{bad}");
+    }
+    let (id, c) = Chunk::of_key("progress/run-000001/2.3").unwrap();
+    assert_eq!(c.key(id), "progress/run-000001/2.3");
+}
+
 #[test]
 fn authority_ends_early_enough_for_every_lease_to_end_within_a_cancellation() {
     let p = Platform::parse("f", PLATFORM).unwrap();
