Names: direct commands, cancellations; a shunned machine is tried again within 75 s

A machine on which several jobs failed was shunned for 90 s, as long as no work may be held back beside room; 75 s now.

--- a/src/core/dialogue.rs
+++ b/src/core/dialogue.rs
@@ -8,14 +8,14 @@
 use super::shelves;
 use crate::wire::state::JobState;
 use crate::wire::workers::{
-    Command, DirectOrder, Op, Redirect, Report, ReportAnswer, ReportTask, TaskState,
+    Command, DirectCommands, Op, Redirect, Report, ReportAnswer, ReportTask, TaskState,
 };
 use std::collections::HashSet;
 
 /// A direct command is repeated after this time, so often at most, unless a report
 /// comes first.
-const ORDER_MS: Ms = 3_000;
-const MOST_ORDERS: u32 = 5;
+const DIRECT_MS: Ms = 3_000;
+const MOST_DIRECT: u32 = 5;
 /// Reports of machines with room wait for work, so long at most.
 const HOLD_IDLE_MS: Ms = 2_500;
 /// Those of machines that have tasks as well, a part of the time between two
@@ -78,7 +78,7 @@
         m.last_report = Some(sh.now);
         m.fenced = !reborn && (m.fenced || r.token >= grant);
         m.reborn = reborn || m.reborn && !m.fenced;
-        m.orders = 0;
+        m.direct_sent = 0;
         // The worker has given the earlier report up.
         let stale = m.held.take();
         let mut commands = Vec::new();
@@ -155,7 +155,9 @@
     pub(super) fn repeat_stops(&mut self, sh: &mut Shared) {
         let now = sh.now;
         for m in self.machines.iter_mut().flatten() {
-            if (1..MOST_ORDERS).contains(&m.orders) && m.held.is_none() && now >= m.ordered_at + ORDER_MS
+            if (1..MOST_DIRECT).contains(&m.direct_sent)
+                && m.held.is_none()
+                && now >= m.direct_at + DIRECT_MS
             {
                 stop_directly(sh, m);
             }
@@ -211,10 +213,10 @@
     if commands.is_empty() || m.addr.is_empty() || m.dead {
         return;
     }
-    m.ordered_at = sh.now;
-    m.orders += 1;
-    let order = DirectOrder { token: m.grant, session: m.session, commands };
-    sh.out.push(Output::Order { addr: m.addr.clone(), order });
+    m.direct_at = sh.now;
+    m.direct_sent += 1;
+    let direct = DirectCommands { token: m.grant, session: m.session, commands };
+    sh.out.push(Output::Direct { addr: m.addr.clone(), commands: direct });
 }
 
 /// How long a report may wait for work. A machine with room gets new work the
--- a/src/core/door.rs
+++ b/src/core/door.rs
@@ -30,7 +30,7 @@
     Submit { req: u64, id: String, state: JobState },
     Read { id: String },
     Cancel { req: u64, id: String, tries: u32 },
-    Withdraw { id: String },
+    Cascade { id: String },
 }
 
 /// A final no to a submission.
@@ -166,7 +166,7 @@
             job.state == JobState::Cancelled || job.links.doomed
         });
         let rec =
-            if withdrawn { JobRecord::withdrawn(spec.tasks) } else { JobRecord::live(spec, &awaits) };
+            if withdrawn { JobRecord::cancelled(spec.tasks) } else { JobRecord::live(spec, &awaits) };
         let state = rec.state;
         let key = job_key(&id);
         let value = serde_json::to_value(rec).unwrap_or_default();
@@ -215,7 +215,7 @@
             conds: vec![Cond { key: key.clone(), version: stamp }],
             changes: vec![Change::Put {
                 key,
-                value: serde_json::to_value(JobRecord::withdrawn(tasks)).unwrap_or_default(),
+                value: serde_json::to_value(JobRecord::cancelled(tasks)).unwrap_or_default(),
                 lease: None,
             }],
         };
@@ -243,20 +243,20 @@
             return;
         }
         let key = job_key(id);
-        let value = serde_json::to_value(JobRecord::withdrawn(tasks)).unwrap_or_default();
+        let value = serde_json::to_value(JobRecord::cancelled(tasks)).unwrap_or_default();
         let txn = Txn {
             conds: vec![Cond { key: key.clone(), version: stamp }],
             changes: vec![Change::Put { key, value, lease: None }],
         };
-        let call = DoorCall::Withdraw { id: id.to_string() };
+        let call = DoorCall::Cascade { id: id.to_string() };
         sh.state_call(Purpose::Door(call), StateOp::Txn(txn));
     }
 
-    fn on_withdrawn(&mut self, sh: &mut Shared, id: String, result: StateResult) {
+    fn on_cascaded(&mut self, sh: &mut Shared, id: String, result: StateResult) {
         let waiters = self.withdrawals.remove(&id).unwrap_or_default();
         self.waiting = self.waiting.saturating_sub(waiters.len());
         if let StateResult::Done { revision } = result {
-            sh.put_job(&id, JobRecord::withdrawn(0), revision);
+            sh.put_job(&id, JobRecord::cancelled(0), revision);
             sh.cancelled_here.push(id.clone());
         }
         for req in waiters {
@@ -294,7 +294,7 @@
 
     pub fn on_result(&mut self, sh: &mut Shared, call: DoorCall, result: StateResult) {
         match call {
-            DoorCall::Withdraw { id } => self.on_withdrawn(sh, id, result),
+            DoorCall::Cascade { id } => self.on_cascaded(sh, id, result),
             DoorCall::Submit { req, id, state } => {
                 self.waiting -= 1;
                 match result {
@@ -309,7 +309,7 @@
                 self.waiting -= 1;
                 match result {
                     StateResult::Done { revision } => {
-                        sh.put_job(&id, JobRecord::withdrawn(0), revision);
+                        sh.put_job(&id, JobRecord::cancelled(0), revision);
                         sh.cancelled_here.push(id.clone());
                         answer_state(sh, req, 200, &id, JobState::Cancelled);
                     }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -27,6 +27,8 @@
 /// So few come soon enough one by one.
 const SURGE_LEAST: usize = 16;
 const SHUN_MS: Ms = 45_000;
+/// Nothing may keep work from a machine with room for as long as 90 s.
+const SHUN_LONG_MS: Ms = 75_000;
 /// Machines are charged for at least a minute, so younger ones stay.
 const MIN_CHARGE_MS: Ms = 60_000;
 
@@ -312,8 +314,8 @@
     pub fn failed(&mut self, now: Ms, machine: u32, job: u32) {
         if let Some(m) = self.machines.get_mut(&machine) {
             m.failed.insert(job);
-            let times = if m.failed.len() >= 2 { 2 } else { 1 };
-            m.shun_until = m.shun_until.max(now + SHUN_MS * times);
+            let long = if m.failed.len() >= 2 { SHUN_LONG_MS } else { SHUN_MS };
+            m.shun_until = m.shun_until.max(now + long);
             tracing::info!(machine = m.name, jobs = m.failed.len(), "task failed; machine shunned");
         }
     }
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -161,8 +161,8 @@
     pub(super) held: Option<Held>,
     /// When it was last told directly to stop tasks, and how often since its last
     /// report.
-    pub(super) ordered_at: Ms,
-    pub(super) orders: u32,
+    pub(super) direct_at: Ms,
+    pub(super) direct_sent: u32,
 }
 
 /// A report that waits for its answer.
@@ -201,8 +201,8 @@
     pub(super) fn heeds(&self, r: &Report, peers: usize) -> bool {
         match self.answered {
             Some((s, q)) if (s, q) == (self.session, self.seq) => {
-                // Each direct order that it has answered counts as well.
-                let next = q + 1..=q + 1 + u64::from(self.orders);
+                // Each direct command that it has answered counts as well.
+                let next = q + 1..=q + 1 + u64::from(self.direct_sent);
                 r.session == s && (next.contains(&r.seq) || peers == 0)
             }
             _ => true,
@@ -373,8 +373,8 @@
             deaf: false,
             reborn: false,
             held: None,
-            ordered_at: 0,
-            orders: 0,
+            direct_at: 0,
+            direct_sent: 0,
         }
     }
 
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -32,7 +32,7 @@
     Reread { job: u32, chunk: Chunk },
     Finish { job: u32, done_ms: u64, dropped: Vec<Chunk> },
     Forget { keys: Vec<String> },
-    Withdraw { list: Vec<u32> },
+    Cascade { list: Vec<u32> },
     SaveFleet,
     SaveCatalog,
 }
@@ -150,7 +150,7 @@
         }
         self.poll_at = sh.now + POLL_GAP_MS;
         self.follow_jobs(sh);
-        self.withdraw_due(sh);
+        self.cascade_due(sh);
         self.fleet_poll(sh);
         // What a round costs grows with what it has to look at.
         let gap = if self.round_due {
@@ -194,7 +194,7 @@
                     j.finish_at = sh.now + sh.retry_ms(250);
                 }
             }
-            LeaderCall::Withdraw { list } => self.on_withdrawn(sh, list, result),
+            LeaderCall::Cascade { list } => self.on_cascaded(sh, list, result),
             LeaderCall::SaveFleet => self.fleet.saved(matches!(result, StateResult::Done { .. })),
             LeaderCall::SaveCatalog => {
                 self.fine |= matches!(result, StateResult::Bad);
--- a/src/core/ljobs.rs
+++ b/src/core/ljobs.rs
@@ -146,7 +146,7 @@
             return;
         }
         if job.links.doomed {
-            return self.withdraw_later(ix);
+            return self.cascade_later(ix);
         }
         // Not all that it awaits is on record as done: it takes no part in
         // anything, and no task of it may start. Once all is, that is final.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -33,7 +33,7 @@
 use crate::wire::cloud::{Catalog, MachinePage, RentAnswer, RentRequest, ReturnRequest};
 use crate::wire::peer::{Body, Frame};
 use crate::wire::state::{Item, Page, Txn, WatchAnswer};
-use crate::wire::workers::{DirectOrder, Report};
+use crate::wire::workers::{DirectCommands, Report};
 use model::Ms;
 use shared::Shared;
 use std::sync::Arc;
@@ -78,9 +78,9 @@
     },
     /// Straight to a worker's address. No answer is waited for: what it has done
     /// shows in the next report.
-    Order {
+    Direct {
         addr: String,
-        order: DirectOrder,
+        commands: DirectCommands,
     },
     /// The connection to this node may lead to a process that is no more.
     Reconnect {
--- a/src/core/pipelines.rs
+++ b/src/core/pipelines.rs
@@ -129,13 +129,13 @@
 
 impl Leader {
     /// Notes that a live job is to be withdrawn.
-    pub(super) fn withdraw_later(&mut self, ix: u32) {
+    pub(super) fn cascade_later(&mut self, ix: u32) {
         self.cascade.due.insert(ix);
     }
 
     /// Writes withdrawals, as many at once as a transaction takes. The rule's
     /// time runs, so they go before all other writes of the leader.
-    pub(super) fn withdraw_due(&mut self, sh: &mut Shared) {
+    pub(super) fn cascade_due(&mut self, sh: &mut Shared) {
         let c = &mut self.cascade;
         c.due.retain(|ix| sh.job(*ix).state == JobState::Live);
         if c.busy || c.due.is_empty() || sh.now < c.retry_at {
@@ -150,19 +150,19 @@
         for ix in &list {
             let key = job_key(sh.job_names.name(*ix));
             let job = sh.job(*ix);
-            let value = serde_json::to_value(JobRecord::withdrawn(job.tasks)).unwrap_or_default();
+            let value = serde_json::to_value(JobRecord::cancelled(job.tasks)).unwrap_or_default();
             txn.conds.push(Cond { key: key.clone(), version: job.stamp });
             txn.changes.push(Change::Put { key, value, lease: None });
         }
-        sh.state_call(Purpose::Leader(LeaderCall::Withdraw { list }), StateOp::Txn(txn));
+        sh.state_call(Purpose::Leader(LeaderCall::Cascade { list }), StateOp::Txn(txn));
     }
 
-    pub(super) fn on_withdrawn(&mut self, sh: &mut Shared, list: Vec<u32>, result: StateResult) {
+    pub(super) fn on_cascaded(&mut self, sh: &mut Shared, list: Vec<u32>, result: StateResult) {
         self.cascade.busy = false;
         if let StateResult::Done { revision } = result {
             for ix in list {
                 let id = sh.job_names.name(ix).clone();
-                sh.put_job(&id, JobRecord::withdrawn(0), revision);
+                sh.put_job(&id, JobRecord::cancelled(0), revision);
                 sh.cancelled_here.push(id);
             }
         } else {
--- a/src/io/driver.rs
+++ b/src/io/driver.rs
@@ -4,7 +4,7 @@
 use super::{cloud, peers, server, state};
 use crate::config::{Operator, Platform};
 use crate::core::{Answer, Core, Input, Output};
-use crate::wire::workers::DirectOrder;
+use crate::wire::workers::DirectCommands;
 use rand::{Rng, RngExt};
 use salvo::prelude::*;
 use std::collections::HashMap;
@@ -18,7 +18,7 @@
 const TICK: Duration = Duration::from_millis(25);
 
 /// A worker answers a direct command at once, or hangs.
-const ORDER: Duration = Duration::from_millis(1500);
+const DIRECT: Duration = Duration::from_millis(1500);
 
 fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
@@ -64,8 +64,8 @@
         cloud: Client::new(cfg.endpoints.cloud, 2, 8),
         links,
         tx: in_tx,
-        orders: Rc::new(()),
-        most_orders: (limit / 32).clamp(8, 64),
+        direct: Rc::new(()),
+        most_direct: (limit / 32).clamp(8, 64),
     };
     let mut answers: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
     let mut next_req = 1u64;
@@ -103,24 +103,24 @@
     links: HashMap<String, tokio::sync::mpsc::Sender<peers::Post>>,
     tx: UnboundedSender<Input>,
     /// One reference more for each direct command under way.
-    orders: Rc<()>,
-    most_orders: usize,
+    direct: Rc<()>,
+    most_direct: usize,
 }
 
 impl Io {
     /// To a worker's address, if sockets are to spare: a hundred machines may be
     /// meant at once, and some of them hang. What is left out here is told in
     /// the answer to the next report.
-    fn order(&self, addr: &str, order: &DirectOrder) {
-        let (Ok(addr), Ok(body)) = (addr.parse(), serde_json::to_vec(order)) else { return };
-        if Rc::strong_count(&self.orders) > self.most_orders {
+    fn direct(&self, addr: &str, commands: &DirectCommands) {
+        let (Ok(addr), Ok(body)) = (addr.parse(), serde_json::to_vec(commands)) else { return };
+        if Rc::strong_count(&self.direct) > self.most_direct {
             return;
         }
-        let slot = self.orders.clone();
+        let slot = self.direct.clone();
         tokio::task::spawn_local(async move {
             let _slot = slot;
             let client = Client::new(addr, 0, 1);
-            let _ = client.call(hyper::Method::POST, "/orders", Some(body), ORDER).await;
+            let _ = client.call(hyper::Method::POST, "/orders", Some(body), DIRECT).await;
         });
     }
 
@@ -150,7 +150,7 @@
                     let _ = link.try_send(peers::Post::Reconnect);
                 }
             }
-            Output::Order { addr, order } => self.order(&addr, &order),
+            Output::Direct { addr, commands } => self.direct(&addr, &commands),
             Output::Answer { .. } => {}
         }
     }
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -154,10 +154,10 @@
     }
 
     pub fn done(tasks: u32, done_ms: u64) -> JobRecord {
-        JobRecord { state: JobState::Done, done_ms, ..JobRecord::withdrawn(tasks) }
+        JobRecord { state: JobState::Done, done_ms, ..JobRecord::cancelled(tasks) }
     }
 
-    pub fn withdrawn(tasks: u32) -> JobRecord {
+    pub fn cancelled(tasks: u32) -> JobRecord {
         let awaits = String::new();
         JobRecord { state: JobState::Cancelled, spec: None, tasks, staged: None, awaits, done_ms: 0 }
     }
--- a/src/wire/workers.rs
+++ b/src/wire/workers.rs
@@ -85,7 +85,7 @@
 /// What goes straight to a worker. It may be carried out minutes late, so it only
 /// ever stops tasks.
 #[derive(Debug, Clone, Serialize)]
-pub struct DirectOrder {
+pub struct DirectCommands {
     #[serde(rename = "baton")]
     pub token: u64,
     #[serde(rename = "shift")]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,7 +15,7 @@
 };
 use woadlever::wire::peer::Frame;
 use woadlever::wire::state::{Change, Event as StateEvent, Item, Page, Txn, WatchAnswer};
-use woadlever::wire::workers::{DirectOrder, Op, Report, ReportAnswer, ReportTask, TaskState};
+use woadlever::wire::workers::{DirectCommands, Op, Report, ReportAnswer, ReportTask, TaskState};
 
 pub const ZONES: [&str; 2] = ["east", "west"];
 pub const LEASE_MS: u64 = 20_000;
@@ -351,7 +351,7 @@
     Frame { to: usize, inc: u64, frame: Frame },
     Report { worker: usize, id: u64, node: usize, report: Box<Report> },
     Reply { worker: usize, node: usize, id: u64, answer: Answer },
-    Order { worker: usize, order: DirectOrder },
+    Direct { worker: usize, order: DirectCommands },
     User { req: u64, answer: Answer },
 }
 
@@ -775,10 +775,10 @@
                         self.push(self.frame_ms, Ev::Frame { to, inc, frame });
                     }
                 }
-                Output::Order { addr, order } => {
+                Output::Direct { addr, commands: order } => {
                     let found = self.workers.iter().position(|w| w.name == addr);
                     if let Some(worker) = found.filter(|_| !self.cut(node, usize::MAX)) {
-                        self.push(2, Ev::Order { worker, order });
+                        self.push(2, Ev::Direct { worker, order });
                     }
                 }
                 Output::Reconnect { to } => self.reconnects.push((node, to)),
@@ -975,10 +975,10 @@
                 }
                 self.worker_reply(worker, id, answer);
             }
-            Ev::Order { worker, order } => {
+            Ev::Direct { worker, order } => {
                 let wait = self.workers[worker].hung_until.saturating_sub(self.now);
                 if wait > 0 {
-                    return self.push(wait + 1, Ev::Order { worker, order });
+                    return self.push(wait + 1, Ev::Direct { worker, order });
                 }
                 self.direct(worker, order);
             }
@@ -1252,7 +1252,7 @@
     }
 
     /// A command that came straight to the worker.
-    fn direct(&mut self, i: usize, order: DirectOrder) {
+    fn direct(&mut self, i: usize, order: DirectCommands) {
         let w = &mut self.workers[i];
         if !w.alive || w.cut {
             return;
