--- a/tests/units.rs
+++ b/tests/units.rs
@@ -98,6 +98,25 @@
     let p = Platform::parse("f", PLATFORM).unwrap();
     let d = p.authority_ms(&Operator::default()) as f64 / 1000.0;
     assert!(d > 5.0 && d + 27.0 * 1.001 + 1.0 < 52.0, "{d}");
+    // Any settings: in time with both clocks off by 0.05%, or refused by name.
+    for (lease, cancel) in
+        [(27.0, 52.0), (45.0, 65.0), (27.0, 28.2), (27.0, 29.5), (600.0, 602.0), (3600.0, 3700.0)]
+    {
+        let text = PLATFORM
+            .replace("lease_s = 27.0", &format!("lease_s = {lease:?}"))
+            .replace("cancel_s = 52.0", &format!("cancel_s = {cancel:?}"));
+        match Platform::parse("f", &text) {
+            Ok(p) => {
+                let d = p.authority_ms(&Operator::default()) as f64 / 1000.0;
+                let gone = (d + lease) * 1.0005;
+                assert!(d >= 1.0 && gone + 0.4 < cancel, "{lease}, {cancel}: {d}");
+            }
+            Err(e) => {
+                assert!(cancel - lease < 3.0, "{lease}, {cancel}: {e}");
+                assert!(e.to_string().contains("cluster.workers.cancel_s"), "{e}");
+            }
+        }
+    }
 }
 
 #[test]
