--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -1022,3 +1022,38 @@
     }
     w.fair();
 }
+
+/// There is more work than room, urgent and not, and every link is slow: no rule
+/// breaks, and the last of the idle jobs begins within four minutes as well.
+#[test]
+fn more_work_than_room_over_slow_links() {
+    let mut w = World::new(3, 604);
+    w.capacity = 4;
+    w.run_ms = 8_000;
+    w.run(5_000);
+    w.frame_ms = 350;
+    for n in 0..3 {
+        w.slow.insert(n, 150);
+        w.lag.insert(n, 120);
+    }
+    for n in 1..25 {
+        let mut j = job(n, if n % 2 == 0 { "t0" } else { "t1" }, 4, 8.0);
+        j["urgency"] = json!(if n % 3 == 0 { "idle" } else { "urgent" });
+        w.submit(n as usize % 3, &j);
+        w.run(1_000);
+    }
+    w.run(9_000);
+    let leader = w.leader().unwrap();
+    w.crash(leader, 2_000);
+    let begun = |w: &World, n: u32| w.starts.keys().any(|t| t.starts_with(&format!("{}/", id(n))));
+    for n in 1..25 {
+        w.accept(n as usize % 3, &job(n, "t0", 4, 8.0));
+    }
+    w.run(180_000);
+    let waiting: Vec<u32> = (1..25).filter(|n| !begun(&w, *n)).collect();
+    assert!(waiting.is_empty(), "not begun within four minutes: {waiting:?}");
+    for n in 1..25 {
+        assert!(w.until_done(&id(n), 200_000), "{n}");
+    }
+    w.fair();
+}
