--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -27,7 +27,9 @@
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
 pub struct Beat {
     pub state_age_ms: u64,
-    /// Nodes whose frames no longer arrive here.
+    /// Nodes whose frames no longer arrive here; and, as `cancelled run-...`, jobs
+    /// whose cancellation the sender has just confirmed. The version in production
+    /// looks for its own name here and for nothing else.
     pub unheard: Vec<String>,
     /// Tasks per live job, from the leader only, for the users' eyes.
     pub counts: Vec<(String, u32, u32)>,
