--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1560,3 +1560,22 @@
 fn twenty_three_hundred_machines_on_five_nodes_outlast_a_crash_of_all() {
     fleet_story(5, 2_300, 80, 72);
 }
+
+/// With nothing to do a node costs little: on the smallest machines what it does all
+/// the same is the larger part of its processor time.
+#[test]
+fn an_idle_cluster_asks_and_tells_little() {
+    let mut w = world(610);
+    w.run(20_000);
+    let (requests, frames, calls) = (w.state.requests, w.frames, w.cloud_calls);
+    w.run(60_000);
+    let a_second = |n: u64| n as f64 / 60.0;
+    // Watches of two seconds on three nodes, a lease kept, a record a window.
+    let requests = a_second(w.state.requests - requests);
+    assert!(requests < 3.0, "{requests} requests a second");
+    // Two beats a second each way make 12, and two pictures a second both ways for
+    // each of two blocks that are not the leader's own another 8.
+    let frames = a_second(w.frames - frames);
+    assert!(frames < 21.0, "{frames} frames a second");
+    assert!(w.cloud_calls - calls < 25, "{} calls to the cloud", w.cloud_calls - calls);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -106,6 +106,8 @@
     pub refuses: HashSet<usize>,
     watches: Vec<(usize, u64, u64, String, u64, u64)>,
     pub writes: u64,
+    /// Calls that reached the service, watches included.
+    pub requests: u64,
     /// Requests and changes a second, with bursts of a second's worth; none:
     /// not enforced.
     pub rates: Option<(f64, f64)>,
@@ -417,7 +419,8 @@
     /// How long frames between nodes take.
     pub frame_ms: u64,
     size: Size,
-    /// The longest frame that went from node to node.
+    /// Frames that went from node to node, and the longest of them.
+    pub frames: u64,
     pub longest_frame: usize,
     /// Calls to the cloud: left of the rate, as of when, made, refused.
     cloud_rate: (f64, u64),
@@ -611,6 +614,7 @@
             parted: None,
             frame_ms: 2,
             size,
+            frames: 0,
             longest_frame: 0,
             cloud_rate: (CLOUD_RPS, 0),
             cloud_calls: 0,
@@ -772,6 +776,7 @@
                         if self.size == Size::Fleet {
                             self.longest_frame = self.longest_frame.max(bitcode::encode(&frame).len());
                         }
+                        self.frames += 1;
                         self.push(self.frame_ms, Ev::Frame { to, inc, frame });
                     }
                 }
@@ -917,6 +922,7 @@
     fn handle(&mut self, ev: Ev) {
         match ev {
             Ev::StateReq { node, inc, call, op, silent, late } => {
+                self.state.requests += 1;
                 let refused = self.state.refuses.contains(&node) || self.state.over_rate(self.now, &op);
                 if let StateOp::Watch { prefix, since, block_ms } = &op {
                     if self.state.down || refused {
