--- a/src/core/dialogue.rs
+++ b/src/core/dialogue.rs
@@ -67,6 +67,15 @@
         } else if m.answered.is_some() {
             (m.unheeded, m.deaf) = (0, false);
         }
+        // A run in the answer to a session's last report, as its lease ends, would be
+        // given up with the first report of the next one, and granted elsewhere
+        // within the same second.
+        let lease = (sh.cfg.cluster.workers.lease_s * 1000.0) as Ms;
+        if m.last_answer.is_some_and(|at| sh.now > at + lease / 2) {
+            m.resuming = r.session <= m.session;
+        } else if m.answered.is_some() {
+            m.resuming = false;
+        }
         m.dead = false;
         m.addr = r.addr;
         m.type_name = r.machine_type;
@@ -178,7 +187,8 @@
             }
             // Until the worker has shown our token, a former holder may have
             // answered it up to the end of its own authority.
-            let before = if m.fenced { 0 } else { h.since + sh.authority_ms };
+            // It may have learned the token from a direct command, unanswered yet.
+            let before = if m.fenced && m.last_answer.is_some() { 0 } else { h.since + sh.authority_ms };
             let last = m.last_answer.unwrap_or(0).max(before);
             if sh.now <= last + lease {
                 continue;
@@ -344,6 +354,7 @@
             && a.want
             && a.written
             && !m.deaf
+            && !m.resuming
             && !m.returning_written
             && job.state == JobState::Live
             && !withdrawn
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -158,6 +158,9 @@
     /// Back from the dead with a count that starts anew, or a late copy of a
     /// report of old: it gets no work before it has shown our token.
     pub(super) reborn: bool,
+    /// Heard again after a long silence, by a report whose session may be about to
+    /// end: it gets no work before the next one.
+    pub(super) resuming: bool,
     pub(super) held: Option<Held>,
     /// When it was last told directly to stop tasks, and how often since its last
     /// report.
@@ -191,6 +194,7 @@
             && !self.dead
             && !self.deaf
             && !self.reborn
+            && !self.resuming
             && self.last_report.is_some_and(|at| at + sh.fresh_ms > sh.now)
     }
 
@@ -372,6 +376,7 @@
             unheeded: 0,
             deaf: false,
             reborn: false,
+            resuming: false,
             held: None,
             direct_at: 0,
             direct_sent: 0,
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -1057,3 +1057,33 @@
     }
     w.fair();
 }
+
+/// A machine is heard again just before its lease ends. A task sent in the answer to
+/// that report may meet the end of the session, be given up with the first report of
+/// the next and start elsewhere within the same second: none is sent before the
+/// machine has been heard a second time.
+#[test]
+fn a_machine_heard_again_after_a_long_silence_gets_work_with_its_next_report() {
+    let mut w = World::new(3, 620);
+    w.capacity = 0;
+    w.run_ms = 20_000;
+    w.add_worker(1, "east", false, 500);
+    w.run(9_000);
+    w.accept(0, &job(1, "t1", 1, 20.0));
+    w.run(9_000);
+    assert_eq!(on_machines(&w, 1), 1);
+    w.workers[0].cut = true;
+    w.run(LEASE_MS / 2 + 4_000);
+    // More to do meanwhile, and room for it there.
+    w.accept(0, &job(2, "t1", 2, 20.0));
+    w.workers[0].cut = false;
+    let seq = w.workers[0].seq;
+    while w.workers[0].seq == seq {
+        w.run(25);
+    }
+    w.run(1_200);
+    assert_eq!(on_machines(&w, 2), 0, "in the answer to its first report");
+    assert!(w.until_done(&id(2), 60_000));
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+    w.fair();
+}
