--- a/src/io/driver.rs
+++ b/src/io/driver.rs
@@ -14,9 +14,9 @@
 use tokio::sync::mpsc::{UnboundedSender, channel, unbounded_channel};
 use tokio::sync::oneshot;
 
-/// Everything in the core that waits for a time waits for an input or, where none
-/// comes for so long, for a tick. Waking up for it is a fixed cost: on a small share
-/// of a core it comes half as often.
+/// Steady ticks; everything in the core that waits for a time waits for one. Waking
+/// up for them is a fixed cost: on a small share of a core they come half as often,
+/// and only where no input did.
 const TICK: Duration = Duration::from_millis(25);
 const SMALL_SHARE: f64 = 0.04;
 
@@ -72,7 +72,8 @@
     };
     let mut answers: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
     let mut next_req = 1u64;
-    let pause = if cfg.cluster.limits.cpu < SMALL_SHARE { TICK * 2 } else { TICK };
+    let small = cfg.cluster.limits.cpu < SMALL_SHARE;
+    let pause = if small { TICK * 2 } else { TICK };
     let mut tick = std::pin::pin!(tokio::time::sleep(pause));
     tracing::info!(node = cfg.node, zone = cfg.zone, "started");
     loop {
@@ -87,7 +88,9 @@
             }
             _ = &mut tick => Input::Tick,
         };
-        tick.as_mut().reset(tokio::time::Instant::now() + pause);
+        if small || matches!(input, Input::Tick) {
+            tick.as_mut().reset(tokio::time::Instant::now() + pause);
+        }
         for out in core.step(now(), wall_ms(), input) {
             match out {
                 Output::Answer { req, answer } => {
