Machines that were returned leave nothing in memory but a bounded list of names

Cause: found by reading while memory was accounted for. A holder kept a slot of about half a kilobyte for each machine it ever held, scanned 50 times a second, and its name; the leader kept the name of each machine ever rented.

Change: a table by name and index (core/named_table.rs) in which what is removed leaves nothing and no index is used twice; the last 4,096 returned names (core/recent_names.rs). A later report of an older one is that of a machine which no list shows: it gets no work, as before.

Tests: tests/memory_bounds.rs.

--- a/src/core/dialogue.rs
+++ b/src/core/dialogue.rs
@@ -43,8 +43,8 @@
         if self.gone.contains(&r.machine) {
             return sh.busy(req, "this machine has been returned");
         }
-        let ix = self.machine_put(&r.machine) as usize;
-        let m = self.machines[ix].get_or_insert_with(|| Self::blank(&r.machine, b, grant));
+        let blank = || Self::blank(&r.machine, b, grant);
+        let (ix, m) = self.machines.get_or_insert_with(&r.machine, blank);
         if m.grant != grant || m.block != b {
             let held = m.held.take();
             *m = Self::blank(&r.machine, b, grant);
@@ -111,8 +111,8 @@
 
     /// Answers the report that a machine waits with. What is ordered is
     /// decided now, on what is known now.
-    fn answer_held(&mut self, sh: &mut Shared, ix: usize) {
-        let Some(m) = self.machines[ix].as_mut() else { return };
+    fn answer_held(&mut self, sh: &mut Shared, ix: u32) {
+        let Some(m) = self.machines.get_mut(ix) else { return };
         let Some(held) = m.held.take() else { return };
         let holds = self.blocks[m.block as usize].as_ref().is_some_and(|h| h.grant == m.grant);
         if !holds || !sh.has_authority() {
@@ -128,17 +128,18 @@
     /// Held reports are answered at the moment that work appears for their
     /// machine, or when their time is over.
     pub(super) fn answer_due(&mut self, sh: &mut Shared) {
-        for ix in 0..self.machines.len() {
-            let Some(m) = &self.machines[ix] else { continue };
-            let Some(h) = &m.held else { continue };
-            let work = m.attempts.iter().any(|a| match a.st {
+        let due = |m: &Machine| {
+            let Some(held) = &m.held else { return false };
+            let has_work = |a: &Attempt| match a.st {
                 St::Bound => a.written && a.want && a.sent.is_none() && !sh.is_cancelled(a.job),
                 St::Fetching | St::Running => !a.want || sh.is_cancelled(a.job),
                 _ => false,
-            });
-            if work || sh.now >= h.until {
-                self.answer_held(sh, ix);
-            }
+            };
+            sh.now >= held.until || m.attempts.iter().any(has_work)
+        };
+        let due: Vec<u32> = self.machines.iter().filter(|(_, m)| due(m)).map(|(ix, _)| ix).collect();
+        for ix in due {
+            self.answer_held(sh, ix);
         }
     }
 
@@ -150,7 +151,7 @@
             return;
         }
         let jobs: HashSet<u32> = std::mem::take(&mut sh.cancelled_now).into_iter().collect();
-        for m in self.machines.iter_mut().flatten() {
+        for m in self.machines.values_mut() {
             if m.held.is_none() && m.attempts.iter().any(|a| jobs.contains(&a.job)) {
                 stop_directly(sh, m);
             }
@@ -162,7 +163,7 @@
     /// Again where nothing has been heard of it.
     pub(super) fn repeat_stops(&mut self, sh: &mut Shared) {
         let now = sh.now;
-        for m in self.machines.iter_mut().flatten() {
+        for m in self.machines.values_mut() {
             if (1..MOST_DIRECT).contains(&m.direct_sent)
                 && m.held.is_none()
                 && now >= m.direct_at + DIRECT_MS
@@ -175,8 +176,7 @@
     /// Machines whose lease has surely ended hold nothing any more.
     pub(super) fn check_leases(&mut self, sh: &mut Shared) {
         let lease = (sh.cfg.cluster.workers.lease_s * 1001.0) as Ms + 1500;
-        for ix in 0..self.machines.len() {
-            let Some(m) = &mut self.machines[ix] else { continue };
+        for m in self.machines.values_mut() {
             let Some(h) = &mut self.blocks[m.block as usize] else { continue };
             // A report that waits for its answer is no silence: the first one
             // of a new machine would pass for the end of a lease that never
--- a/src/core/exchange.rs
+++ b/src/core/exchange.rs
@@ -53,7 +53,7 @@
         for m in &h.machines {
             let type_name = h.types.get(m.machine_type as usize).map_or("", String::as_str);
             let ix = self.fleet.heard(sh, m, type_name, &zone);
-            if let Some(m) = self.fleet.machines.get(&ix)
+            if let Some(m) = self.fleet.machines.get(ix)
                 && m.block != h.block
             {
                 continue;
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -7,14 +7,21 @@
 
 use super::forecast::History;
 use super::leader::{FleetRecord, Leader};
-use super::model::{Ms, Names};
+use super::model::Ms;
+use super::named_table::NamedTable;
 use super::plan::take_from;
+use super::recent_names::RecentNames;
 use super::shared::{Pace, Shared};
 use super::{CloudOp, CloudResult};
 use crate::wire::cloud::{ListedMachine, MachineType, RentRequest, ReturnRequest};
 use crate::wire::peer::{HaveMachine, Retire};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+/// Returned machines that are kept in mind: the cloud's list shows them for seconds,
+/// and late reports for minutes.
+const MAX_RETURNED: usize = 4_096;
+/// The index of a machine that is not part of the fleet.
+const NO_MACHINE: u32 = u32::MAX;
 const LIST_EVERY_MS: Ms = 3_000;
 const CATALOG_EVERY_MS: Ms = 45_000;
 /// Refusals are remembered for so long, doubling up to the second figure.
@@ -120,10 +127,9 @@
 }
 
 pub struct Fleet {
-    pub names: Names<String>,
-    pub machines: BTreeMap<u32, LMachine>,
+    pub machines: NamedTable<LMachine>,
     /// Returned; late lists and reports must not bring them back.
-    gone: HashSet<u32>,
+    gone: RecentNames,
     pub waiting: Vec<(u32, u32)>,
     history: History,
     pub(super) booked: BTreeMap<String, (f64, u32)>,
@@ -153,9 +159,8 @@
     pub fn new(sh: &Shared) -> Fleet {
         let rps = sh.cfg.cluster.cloud.rps;
         Fleet {
-            names: Names::default(),
-            machines: BTreeMap::new(),
-            gone: HashSet::new(),
+            machines: NamedTable::default(),
+            gone: RecentNames::new(MAX_RETURNED),
             waiting: Vec::new(),
             history: History::default(),
             booked: BTreeMap::new(),
@@ -215,16 +220,16 @@
         spot: bool,
     ) -> u32 {
         // Nearly always it is known: each picture names every machine.
-        if let Some(ix) = self.names.get(name)
-            && (self.machines.contains_key(&ix) || self.gone.contains(&ix))
-        {
+        if let Some(ix) = self.machines.index_of(name) {
             return ix;
         }
-        let ix = self.names.put(&name.to_string());
+        if self.gone.contains(name) {
+            return NO_MACHINE;
+        }
         let kind = sh.type_ix(type_name);
         let block = sh.block_of(zone, name);
-        let (Some(kind), Some(block)) = (kind, block) else { return ix };
-        self.machines.entry(ix).or_insert_with(|| LMachine {
+        let (Some(kind), Some(block)) = (kind, block) else { return NO_MACHINE };
+        let (ix, _) = self.machines.get_or_insert_with(name, || LMachine {
             name: name.into(),
             kind,
             zone: zone.into(),
@@ -254,7 +259,7 @@
     /// Takes in what a holder says of a machine.
     pub fn heard(&mut self, sh: &Shared, h: &HaveMachine, type_name: &str, zone: &str) -> u32 {
         let ix = self.put_known(sh, &h.machine, type_name, zone, h.spot);
-        if let Some(m) = self.machines.get_mut(&ix) {
+        if let Some(m) = self.machines.get_mut(ix) {
             if h.silent_ms != u64::MAX {
                 let at = sh.now.saturating_sub(h.silent_ms);
                 m.heard = m.heard.max(Some(at));
@@ -304,7 +309,7 @@
     }
 
     pub fn succeeded(&mut self, machine: u32) {
-        if let Some(m) = self.machines.get_mut(&machine) {
+        if let Some(m) = self.machines.get_mut(machine) {
             m.failed.clear();
         }
     }
@@ -312,7 +317,7 @@
     /// Tasks of several jobs failing in a row, or one failing while others
     /// have nowhere succeeded, speak against the machine.
     pub fn failed(&mut self, now: Ms, machine: u32, job: u32) {
-        if let Some(m) = self.machines.get_mut(&machine) {
+        if let Some(m) = self.machines.get_mut(machine) {
             m.failed.insert(job);
             let long = if m.failed.len() >= 2 { SHUN_LONG_MS } else { SHUN_MS };
             m.shun_until = m.shun_until.max(now + long);
@@ -385,8 +390,8 @@
         let now = sh.now;
         let busy: HashSet<u32> = self.attempts.values().filter_map(|a| a.machine).collect();
         let lease = (sh.cfg.cluster.workers.lease_s * 1000.0) as Ms;
-        for (ix, m) in &mut self.fleet.machines {
-            if busy.contains(ix) {
+        for (ix, m) in self.fleet.machines.iter_mut() {
+            if busy.contains(&ix) {
                 m.idle_since = None;
             } else {
                 m.idle_since.get_or_insert(now);
@@ -412,7 +417,7 @@
             let vanished = m.missed >= 2 && silent > sh.fresh_ms;
             let lost = m.heard.is_some() && silent > lease + 5_000;
             let deaf = m.deaf_since.is_some_and(|at| now > at + lease);
-            let drained = m.isolated && !busy.contains(ix) && m.phase == Phase::Up;
+            let drained = m.isolated && !busy.contains(&ix) && m.phase == Phase::Up;
             let reasons = [
                 (never, "did not boot"),
                 (vanished, "vanished"),
@@ -430,7 +435,7 @@
         }
         // Tasks with checkpoints leave a machine under notice in time.
         for a in self.attempts.values_mut().filter(|a| a.want && a.counts()) {
-            let Some(m) = a.machine.and_then(|m| self.fleet.machines.get(&m)) else { continue };
+            let Some(m) = a.machine.and_then(|m| self.fleet.machines.get(m)) else { continue };
             if m.notice && !a.bind && self.jobs.get(&a.job).is_some_and(|j| j.spec.checkpoint_s > 0.0) {
                 a.want = false;
                 self.blocks[a.block as usize].dirty = true;
@@ -505,11 +510,11 @@
                 let heard = now > sh.authority_since + sh.fresh_ms;
                 if have > target && waiting == 0 && heard {
                     let mut surplus = have - target;
-                    for (ix, m) in &mut self.fleet.machines {
+                    for (ix, m) in self.fleet.machines.iter_mut() {
                         let idle = of_kind(m)
                             && m.phase == Phase::Up
                             && !m.isolated
-                            && !busy.contains(ix)
+                            && !busy.contains(&ix)
                             && now > m.since + MIN_CHARGE_MS - 8_000;
                         if surplus > 0 && idle {
                             m.isolated = true;
@@ -549,7 +554,7 @@
             .machines
             .iter()
             .filter(|(_, m)| m.takes_tasks(sh))
-            .map(|(ix, m)| (m.peak, *ix))
+            .map(|(ix, m)| (m.peak, ix))
             .collect();
         if running.is_empty() || running.iter().any(|(p, _)| *p >= level) {
             return;
@@ -558,7 +563,7 @@
         let keep = (running.iter().map(|(p, _)| p).sum::<f64>() / level).ceil() as usize;
         self.fleet.drained = true;
         for (_, ix) in running.iter().take(running.len().saturating_sub(keep)) {
-            if let Some(m) = self.fleet.machines.get_mut(ix)
+            if let Some(m) = self.fleet.machines.get_mut(*ix)
                 && sh.now > m.since + MIN_CHARGE_MS - 8_000
             {
                 m.isolated = true;
@@ -578,10 +583,10 @@
             .machines
             .iter()
             .filter(|(_, m)| m.phase == Phase::Booting)
-            .map(|(ix, _)| *ix)
+            .map(|(ix, _)| ix)
             .collect();
         let mut asking = Vec::new();
-        for (ix, m) in &mut self.fleet.machines {
+        for (ix, m) in self.fleet.machines.iter_mut() {
             let open = match m.ask {
                 Some(Ask::Rent(n)) => pending.contains(&n),
                 Some(Ask::Boot(b)) => booting.contains(&b),
@@ -591,7 +596,7 @@
                 m.ask = None;
             }
             if m.overloaded && m.ask.is_none() && m.phase == Phase::Up {
-                asking.push(*ix);
+                asking.push(ix);
             }
         }
         for ix in asking {
@@ -607,7 +612,7 @@
                 continue;
             }
             let number = self.fleet.rent(sh, offer);
-            if let Some(m) = self.fleet.machines.get_mut(&ix) {
+            if let Some(m) = self.fleet.machines.get_mut(ix) {
                 m.ask = Some(Ask::Rent(number));
             }
         }
@@ -629,7 +634,7 @@
             .machines
             .iter()
             .filter(|(_, m)| m.phase == Phase::Ready)
-            .map(|(ix, _)| *ix)
+            .map(|(ix, _)| ix)
             .take(100)
             .collect();
         let op = if !f.catalog_known && now >= f.catalog_at || now >= f.catalog_at + CATALOG_EVERY_MS {
@@ -649,9 +654,10 @@
             r.call = Some(0);
             (CloudOp::Rent(req), CloudCall::Rent(r.number))
         } else if !returning.is_empty() {
-            let names = returning.iter().map(|ix| f.machines[ix].name.clone()).collect();
+            let names =
+                returning.iter().filter_map(|ix| f.machines.get(*ix)).map(|m| m.name.clone()).collect();
             for ix in &returning {
-                if let Some(m) = f.machines.get_mut(ix) {
+                if let Some(m) = f.machines.get_mut(*ix) {
                     m.phase = Phase::Returning;
                 }
             }
@@ -680,13 +686,13 @@
                 let ok = matches!(result, CloudResult::Returned);
                 for ix in list {
                     if !ok {
-                        if let Some(m) = self.fleet.machines.get_mut(&ix) {
+                        if let Some(m) = self.fleet.machines.get_mut(ix) {
                             m.phase = Phase::Ready;
                         }
                         continue;
                     }
-                    let Some(m) = self.fleet.machines.remove(&ix) else { continue };
-                    self.fleet.gone.insert(ix);
+                    let Some(m) = self.fleet.machines.remove(ix) else { continue };
+                    self.fleet.gone.insert(&m.name);
                     if let Some(b) = self.blocks.get_mut(m.block as usize) {
                         b.gone.push((m.name, sh.now));
                         b.dirty = true;
@@ -733,8 +739,8 @@
         f.list_at = sh.now + LIST_EVERY_MS;
         f.listed_once = true;
         let seen = std::mem::take(&mut f.list_seen);
-        for (ix, m) in &mut f.machines {
-            if seen.contains(ix) {
+        for (ix, m) in f.machines.iter_mut() {
+            if seen.contains(&ix) {
                 m.listed = true;
                 m.missed = 0;
             } else if m.listed || m.recorded {
@@ -758,7 +764,7 @@
                 let mut rented = Vec::new();
                 for machine in a.machines {
                     let ix = self.fleet.put_known(sh, &machine, &name, zone, *spot);
-                    if let Some(m) = self.fleet.machines.get_mut(&ix) {
+                    if let Some(m) = self.fleet.machines.get_mut(ix) {
                         m.since = m.since.min(r.at);
                         m.confirmed = true;
                         rented.push(ix);
@@ -805,7 +811,7 @@
     fn take_listed(&mut self, sh: &Shared, l: &ListedMachine) {
         let ix = self.put_known(sh, &l.name, &l.machine_type, &l.zone, l.spot);
         self.list_seen.insert(ix);
-        let Some(m) = self.machines.get_mut(&ix) else { return };
+        let Some(m) = self.machines.get_mut(ix) else { return };
         m.confirmed = true;
         m.since = m.since.min(sh.now.saturating_sub((l.age_s.max(0.0) * 1000.0) as Ms));
         m.starting = l.state == "starting";
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -123,17 +123,17 @@
             }
         }
         let mut out = Rooms::default();
-        for (ix, m) in &self.fleet.machines {
+        for (ix, m) in self.fleet.machines.iter() {
             let Some(b) = self.blocks.get(m.block as usize) else { continue };
             if !b.shown || !m.takes_tasks(sh) {
                 continue;
             }
             let Some(t) = sh.types.get(m.kind) else { continue };
             let mut free = t.room;
-            if let Some(u) = used.get(ix) {
+            if let Some(u) = used.get(&ix) {
                 free.sub(u);
             }
-            out.push(m.kind, &m.zone, m.spot, t.room, (*ix, m.block, free));
+            out.push(m.kind, &m.zone, m.spot, t.room, (ix, m.block, free));
         }
         out
     }
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -9,7 +9,9 @@
 //! report, from a worker that knows our token, does not list it, or its
 //! lease has surely ended, or the cloud has confirmed the machine's return.
 
-use super::model::{Ms, Names, Res};
+use super::model::{Ms, Res};
+use super::named_table::NamedTable;
+use super::recent_names::RecentNames;
 use super::shared::Shared;
 use super::shelves::{self, Shelf, Written};
 use super::window;
@@ -19,6 +21,12 @@
 use crate::wire::workers::{Command, Report};
 use std::collections::{HashMap, HashSet};
 
+/// Machines of the blocks held here.
+pub type Machines = NamedTable<Machine>;
+
+/// Returned machines that are kept in mind. One that reports after that is treated
+/// as any that the cloud does not list: it gets no work.
+const MAX_RETURNED: usize = 4_096;
 /// Sooner than this no second look at all machines for work to write or send.
 const SCAN_GAP_MS: Ms = 20;
 /// What a waiting report is worth in the choice of a machine.
@@ -240,10 +248,9 @@
 
 pub struct Holder {
     pub(super) blocks: Vec<Option<HeldBlock>>,
-    pub(super) names: Names<String>,
-    pub(super) machines: Vec<Option<Machine>>,
+    pub(super) machines: Machines,
     /// Machines whose return is confirmed; a late report must not revive them.
-    pub(super) gone: HashSet<String>,
+    pub(super) gone: RecentNames,
     pub(super) next_scan: Ms,
     pub(super) next_check: Ms,
     pub(super) next_project: Ms,
@@ -253,9 +260,8 @@
     pub fn new(sh: &Shared) -> Holder {
         Holder {
             blocks: sh.blocks.iter().map(|_| None).collect(),
-            names: Names::default(),
-            machines: Vec::new(),
-            gone: HashSet::new(),
+            machines: Machines::default(),
+            gone: RecentNames::new(MAX_RETURNED),
             next_scan: 0,
             next_check: 0,
             next_project: 0,
@@ -275,9 +281,9 @@
             if granted == have {
                 continue;
             }
-            for m in self.machines.iter_mut() {
-                if m.as_ref().is_some_and(|m| m.block == b as u32)
-                    && let Some(held) = m.take().and_then(|m| m.held)
+            for ix in self.machines.indices() {
+                if self.machines.get(ix).is_some_and(|m| m.block == b as u32)
+                    && let Some(held) = self.machines.remove(ix).and_then(|m| m.held)
                 {
                     sh.busy(held.req, "the block went to another holder");
                 }
@@ -350,15 +356,7 @@
 
     /// Jobs with an attempt on a machine held here.
     pub(super) fn jobs_in_use(&self) -> impl Iterator<Item = u32> {
-        self.machines.iter().flatten().flat_map(|m| m.attempts.iter().map(|a| a.job))
-    }
-
-    pub(super) fn machine_put(&mut self, name: &str) -> u32 {
-        let ix = self.names.put(&name.to_string());
-        while self.machines.len() <= ix as usize {
-            self.machines.push(None);
-        }
-        ix
+        self.machines.values().flat_map(|m| m.attempts.iter().map(|a| a.job))
     }
 
     pub(super) fn blank(name: &str, block: u32, grant: u64) -> Machine {
@@ -416,12 +414,12 @@
             h.shelves[number as usize] = Shelf::read(sh, item.version, bytes);
         }
         for row in &rec.machines {
-            let ix = self.machine_put(&row.0);
             // Another shelf may have told of it already.
-            let mut m = match self.machines[ix as usize].take() {
-                Some(m) if m.grant == grant => m,
-                _ => Self::blank(&row.0, block, grant),
-            };
+            let blank = || Self::blank(&row.0, block, grant);
+            let (_, m) = self.machines.get_or_insert_with(&row.0, blank);
+            if m.grant != grant {
+                *m = Self::blank(&row.0, block, grant);
+            }
             m.type_name = rec.types.get(row.1 as usize).cloned().unwrap_or_default();
             m.zone = sh.blocks[block as usize].zone.clone();
             m.spot = row.is(ShelfMachine::SPOT);
@@ -446,7 +444,6 @@
                 }
                 (old.shelf, old.moving) = (number, None);
             }
-            self.machines[ix as usize] = Some(m);
         }
     }
 
@@ -506,9 +503,8 @@
             if self.gone.contains(&r.machine) {
                 continue;
             }
-            let ix = self.machine_put(&r.machine);
             let grant = w.grant;
-            let m = self.machines[ix as usize].get_or_insert_with(|| {
+            let (_, m) = self.machines.get_or_insert_with(&r.machine, || {
                 let mut m = Self::blank(&r.machine, w.block, grant);
                 m.type_name = r.machine_type.clone();
                 m.zone = r.zone.clone();
@@ -518,7 +514,7 @@
             m.retire = true;
         }
         let mut known: HashSet<u64> = HashSet::new();
-        for m in self.machines.iter_mut().flatten().filter(|m| m.block == w.block) {
+        for m in self.machines.values_mut().filter(|m| m.block == w.block) {
             m.isolated = isolated.contains(m.name.as_str());
             m.retire = m.returning_written || retire.contains(m.name.as_str());
             m.shunned = shunned.contains(m.name.as_str());
@@ -571,11 +567,8 @@
         };
         let need = spec.need();
         let Some(h) = &mut self.blocks[block as usize] else { return false };
-        let mut best: Option<(f64, usize)> = None;
-        for (ix, m) in self.machines.iter().enumerate() {
-            let Some(m) = m.as_ref().filter(|m| m.block == block && m.takes_tasks(sh)) else {
-                continue;
-            };
+        let mut best: Option<(f64, u32)> = None;
+        for (ix, m) in self.machines.iter().filter(|(_, m)| m.block == block && m.takes_tasks(sh)) {
             if !window::allowed(&spec, &m.type_name, &m.zone, m.spot) {
                 continue;
             }
@@ -600,7 +593,7 @@
         }
         let Some((_, ix)) = best else { return false };
         shelves::open_shelf(sh, h, &self.machines, block);
-        let Some(m) = &mut self.machines[ix] else { return false };
+        let Some(m) = self.machines.get_mut(ix) else { return false };
         let shelf = shelves::reserve(sh, h, m, job, &spec.team);
         m.attempts.push(Attempt {
             job,
@@ -628,11 +621,11 @@
     }
 
     fn forget_machine(&mut self, sh: &mut Shared, name: &str, block: u32) {
-        if !self.gone.insert(name.to_string()) {
+        if !self.gone.insert(name) {
             return;
         }
-        let Some(ix) = self.names.get(name) else { return };
-        let Some(m) = self.machines.get_mut(ix as usize).and_then(Option::take) else { return };
+        let Some(ix) = self.machines.index_of(name) else { return };
+        let Some(m) = self.machines.remove(ix) else { return };
         if let Some(held) = &m.held {
             sh.busy(held.req, "this machine has been returned");
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,11 +20,13 @@
 pub mod ljobs;
 pub mod lookups;
 pub mod model;
+pub mod named_table;
 pub mod picture;
 pub mod pipelines;
 pub mod plan;
 pub mod progress;
 pub mod rebuild;
+pub mod recent_names;
 pub mod shared;
 pub mod shelves;
 pub mod sync;
@@ -161,6 +163,20 @@
     Leader(leader::LeaderCall),
 }
 
+/// What a node's memory follows from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sizes {
+    /// Jobs, live and final.
+    pub jobs: usize,
+    /// Machines of the blocks held here.
+    pub held_machines: usize,
+    /// Machines that the leader knows, on the leader.
+    pub fleet_machines: usize,
+    /// Calls to the state service without an answer yet.
+    pub state_calls: usize,
+}
+
+/// All roles of one node.
 pub struct Core {
     pub sh: Shared,
     sync: sync::Sync,
@@ -210,6 +226,16 @@
         std::mem::take(&mut self.sh.out)
     }
 
+    /// How much this node keeps in memory.
+    pub fn sizes(&self) -> Sizes {
+        Sizes {
+            jobs: self.sh.jobs.len(),
+            held_machines: self.holder.machines.len(),
+            fleet_machines: self.leader.as_ref().map_or(0, |leader| leader.fleet.machines.len()),
+            state_calls: self.sh.calls.len(),
+        }
+    }
+
     fn http(&mut self, req: u64, call: HttpCall) {
         match call {
             HttpCall::Submit(body) => self.door.submit(&mut self.sh, req, &body),
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -2,8 +2,6 @@
 //! dense indices that names are mapped to at the door.
 
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
-use std::hash::Hash;
 
 /// Milliseconds of the steady clock.
 pub type Ms = u64;
@@ -123,51 +121,6 @@
     }
 }
 
-/// Maps names to dense indices and back.
-#[derive(Debug, Clone)]
-pub struct Names<T> {
-    by_name: HashMap<T, u32>,
-    list: Vec<T>,
-}
-
-impl<T> Default for Names<T> {
-    fn default() -> Self {
-        Names { by_name: HashMap::new(), list: Vec::new() }
-    }
-}
-
-impl<T: Eq + Hash + Clone> Names<T> {
-    pub fn put(&mut self, name: &T) -> u32 {
-        if let Some(&ix) = self.by_name.get(name) {
-            return ix;
-        }
-        let ix = self.list.len() as u32;
-        self.list.push(name.clone());
-        self.by_name.insert(name.clone(), ix);
-        ix
-    }
-
-    pub fn get<Q>(&self, name: &Q) -> Option<u32>
-    where
-        T: std::borrow::Borrow<Q>,
-        Q: Eq + Hash + ?Sized,
-    {
-        self.by_name.get(name).copied()
-    }
-
-    pub fn name(&self, ix: u32) -> &T {
-        &self.list[ix as usize]
-    }
-
-    pub fn len(&self) -> usize {
-        self.list.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.list.is_empty()
-    }
-}
-
 /// A machine type from the catalog.
 #[derive(Debug, Clone, PartialEq)]
 pub struct MachineType {
--- a/src/core/picture.rs
+++ b/src/core/picture.rs
@@ -18,16 +18,14 @@
 impl Holder {
     /// Each waiting task counts once, on its best-fit machine: the one with the
     /// most room left when earlier ones are counted.
-    fn waiting_on(&self, sh: &Shared, block: usize) -> HashMap<usize, Res> {
-        let mut extra: HashMap<usize, Res> = HashMap::new();
+    fn waiting_on(&self, sh: &Shared, block: usize) -> HashMap<u32, Res> {
+        let mut extra: HashMap<u32, Res> = HashMap::new();
         let Some(h) = self.blocks[block].as_ref().filter(|h| !h.waiting.is_empty()) else {
             return extra;
         };
-        let mut able: Vec<(usize, &Machine, &MachineType, Res)> = Vec::new();
-        for (ix, m) in self.machines.iter().enumerate() {
-            let Some(m) = m.as_ref().filter(|m| m.block as usize == block && m.takes_tasks(sh)) else {
-                continue;
-            };
+        let mut able: Vec<(u32, &Machine, &MachineType, Res)> = Vec::new();
+        let ours = |m: &Machine| m.block as usize == block && m.takes_tasks(sh);
+        for (ix, m) in self.machines.iter().filter(|(_, m)| ours(m)) {
             if let Some(t) = sh.type_ix(&m.type_name) {
                 able.push((ix, m, &sh.types[t], m.used()));
             }
@@ -67,8 +65,7 @@
             }
             let extra = self.waiting_on(sh, b);
             let mut changed = false;
-            for (ix, m) in self.machines.iter_mut().enumerate() {
-                let Some(m) = m.as_mut().filter(|m| m.block as usize == b) else { continue };
+            for (ix, m) in self.machines.iter_mut().filter(|(_, m)| m.block as usize == b) {
                 let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { continue };
                 let bookings: Vec<Booking> = m
                     .attempts
@@ -118,7 +115,7 @@
                 machines: Vec::new(),
             };
             let mut rows: HashMap<u32, u32> = HashMap::new();
-            for m in self.machines.iter().flatten().filter(|m| m.block as usize == b) {
+            for m in self.machines.values().filter(|m| m.block as usize == b) {
                 let m = have_machine(sh, m, &mut have, &mut rows);
                 have.machines.push(m);
             }
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -21,7 +21,7 @@
     pub(super) fn bookings(&self, sh: &Shared) -> BTreeMap<String, f64> {
         let mut sums: BTreeMap<(usize, bool), Res> = BTreeMap::new();
         for a in self.attempts.values().filter(|a| a.counts()) {
-            if let Some(m) = a.machine.and_then(|m| self.fleet.machines.get(&m)) {
+            if let Some(m) = a.machine.and_then(|m| self.fleet.machines.get(m)) {
                 sums.entry((m.kind, m.spot)).or_default().add(&a.need);
             }
         }
@@ -70,7 +70,7 @@
         let mut rooms = self.rooms(sh);
         for (ix, m) in self.fleet.machines.iter().filter(|(_, m)| m.phase == Phase::Booting) {
             if let Some(t) = sh.types.get(m.kind) {
-                rooms.push(m.kind, &m.zone, m.spot, t.room, (*ix, m.block, t.room));
+                rooms.push(m.kind, &m.zone, m.spot, t.room, (ix, m.block, t.room));
             }
         }
         for r in &self.fleet.rents {
--- a/src/core/rebuild.rs
+++ b/src/core/rebuild.rs
@@ -80,7 +80,7 @@
         for m in &rec.machines {
             let type_name = rec.types.get(m.1 as usize).map_or("", String::as_str);
             let ix = self.fleet.put_known(sh, &m.0, type_name, &zone, m.is(ShelfMachine::SPOT));
-            if let Some(known) = self.fleet.machines.get_mut(&ix) {
+            if let Some(known) = self.fleet.machines.get_mut(ix) {
                 known.isolated |= m.is(ShelfMachine::ISOLATED);
                 known.confirmed = true;
                 known.recorded |= !m.3.is_empty();
--- a/src/core/shelves.rs
+++ b/src/core/shelves.rs
@@ -16,7 +16,7 @@
 //! other shelves first, and only once it stands there the long one shrinks.
 //! No attempt is ever on no record, and a reader takes repeats as one.
 
-use super::holder::{Attempt, HeldBlock, HolderCall, Load, Machine};
+use super::holder::{Attempt, HeldBlock, HolderCall, Load, Machine, Machines};
 use super::model::Ms;
 use super::shared::Shared;
 use super::sync::{LEADER, block_key, job_key};
@@ -126,7 +126,7 @@
 /// Makes sure that the shelf which takes what is new has room for one more
 /// attempt. A shelf whose record lists much that is gone has the room of that,
 /// as its next write leaves it out.
-pub fn open_shelf(sh: &Shared, h: &mut HeldBlock, machines: &[Option<Machine>], block: u32) {
+pub fn open_shelf(sh: &Shared, h: &mut HeldBlock, machines: &Machines, block: u32) {
     let most = limit(sh);
     let spare = ATTEMPT_BYTES + 2 * MOST_HEADER;
     if h.shelves.get(h.open as usize).is_some_and(|s| !s.long && s.bytes + spare <= most) {
@@ -135,7 +135,7 @@
     // What each shelf will hold once it is written anew.
     let mut live = vec![HEAD_BYTES + RECORD_SLACK; h.shelves.len()];
     let mut jobs: HashSet<(u32, u32)> = HashSet::new();
-    for m in machines.iter().flatten().filter(|m| m.block == block) {
+    for m in machines.values().filter(|m| m.block == block) {
         let mut add = |s: u32, n: usize| {
             if let Some(b) = live.get_mut(s as usize) {
                 *b += n;
@@ -225,11 +225,11 @@
 
 /// Finds new places for what a long record holds too much of: attempts and rows
 /// of machines, in whole machines. What stays leaves room for a write.
-fn spread_out(sh: &Shared, h: &mut HeldBlock, machines: &mut [Option<Machine>], block: u32, shelf: u32) {
+fn spread_out(sh: &Shared, h: &mut HeldBlock, machines: &mut Machines, block: u32, shelf: u32) {
     let most = limit(sh) * 9 / 10;
     let mut bytes = HEAD_BYTES;
     let mut jobs: HashSet<u32> = HashSet::new();
-    for m in machines.iter_mut().flatten().filter(|m| m.block == block) {
+    for m in machines.values_mut().filter(|m| m.block == block) {
         let row = m.shelf == Some(shelf) && (m.isolated || m.returning_written);
         let here = |a: &&mut Attempt| a.shelf == shelf && a.moving.is_none();
         let mut more = machine_bytes(&m.name);
@@ -269,8 +269,8 @@
 
 /// Whether a long record can't be written yet: it still holds too much, or what
 /// is to leave it does not stand elsewhere.
-fn held_back(sh: &Shared, machines: &[Option<Machine>], block: u32, shelf: u32) -> bool {
-    let ours = || machines.iter().flatten().filter(|m| m.block == block);
+fn held_back(sh: &Shared, machines: &Machines, block: u32, shelf: u32) -> bool {
+    let ours = || machines.values().filter(|m| m.block == block);
     let leaves = |m: &Machine| {
         m.row_from == Some(shelf) || m.attempts.iter().any(|a| a.shelf == shelf && a.moving.is_some())
     };
@@ -284,10 +284,10 @@
 
 /// What a record holds in any case: rows that it may have already, and those
 /// of machines with a state of their own.
-fn due_bytes(sh: &Shared, machines: &[Option<Machine>], block: u32, shelf: u32, base: u64) -> usize {
+fn due_bytes(sh: &Shared, machines: &Machines, block: u32, shelf: u32, base: u64) -> usize {
     let mut jobs: HashSet<u32> = HashSet::new();
     let mut bytes = HEAD_BYTES;
-    for m in machines.iter().flatten().filter(|m| m.block == block) {
+    for m in machines.values().filter(|m| m.block == block) {
         let mut row = m.shelf == Some(shelf) && (m.isolated || m.returning_written || m.can_retire());
         for a in m.attempts.iter().filter(|a| a.shelf == shelf && (a.written || a.tried)) {
             row = true;
@@ -317,7 +317,7 @@
 }
 
 /// Writes the shelves that have something new, and reads back those in doubt.
-pub fn write_all(sh: &mut Shared, blocks: &mut [Option<HeldBlock>], machines: &mut [Option<Machine>]) {
+pub fn write_all(sh: &mut Shared, blocks: &mut [Option<HeldBlock>], machines: &mut Machines) {
     let Some(term) = sh.leader.as_ref().map(|(_, t)| *t) else { return };
     let now = sh.now;
     if !blocks.iter().flatten().any(|h| h.load == Load::Done) {
@@ -339,7 +339,7 @@
     }
     // What waits, shelf by shelf; false: not pressing.
     let mut needs: HashMap<(u32, u32), bool> = HashMap::new();
-    for m in machines.iter_mut().flatten() {
+    for m in machines.values_mut() {
         let Some(h) = blocks[m.block as usize].as_mut() else { continue };
         if h.load != Load::Done || h.grant != m.grant {
             continue;
@@ -413,7 +413,7 @@
 fn write(
     sh: &mut Shared,
     h: &mut HeldBlock,
-    machines: &mut [Option<Machine>],
+    machines: &mut Machines,
     (block, shelf): (u32, u32),
     term: u64,
 ) {
@@ -441,14 +441,12 @@
     };
     let here = |a: &&Attempt| a.shelf == shelf || a.moving == Some(shelf);
     let ids = machines
-        .iter()
-        .flatten()
+        .values()
         .filter(|m| m.block == block)
         .flat_map(|m| m.attempts.iter().filter(here).map(|a| a.id));
     rec.base = ids.min().unwrap_or(0);
     let mut bytes = due_bytes(sh, machines, block, shelf, rec.base);
-    for (ix, m) in machines.iter_mut().enumerate() {
-        let Some(m) = m.as_mut().filter(|m| m.block == block) else { continue };
+    for (ix, m) in machines.iter_mut().filter(|(_, m)| m.block == block) {
         let mut flags = 0;
         let own = m.shelf == Some(shelf);
         let mut flag = |on: bool, f: u8| flags |= if on && own { f } else { 0 };
@@ -519,7 +517,7 @@
         });
         rec.machines.push(ShelfMachine(m.name.clone(), type_ix as u32, flags, tasks));
         if own {
-            done.flags.insert(ix as u32, flags);
+            done.flags.insert(ix, flags);
         }
     }
     let state = &mut h.shelves[shelf as usize];
@@ -534,18 +532,12 @@
     sh.state_call(Purpose::Holder(HolderCall::Write(done)), StateOp::Txn(txn));
 }
 
-fn unwritten_bytes(
-    sh: &Shared,
-    machines: &[Option<Machine>],
-    block: u32,
-    shelf: u32,
-    done: &Written,
-) -> usize {
+fn unwritten_bytes(sh: &Shared, machines: &Machines, block: u32, shelf: u32, done: &Written) -> usize {
     let left = |a: &&Attempt| {
         a.shelf == shelf && a.unwritten(sh) && !done.attempts.contains(&a.id)
             || a.moving == Some(shelf) && !done.moved.contains(&a.id)
     };
-    let ours = machines.iter().flatten().filter(|m| m.block == block);
+    let ours = machines.values().filter(|m| m.block == block);
     let row =
         |m: &Machine| m.attempts.iter().filter(left).count() * (ATTEMPT_BYTES + machine_bytes(&m.name));
     ours.map(row).sum()
@@ -555,8 +547,8 @@
 /// attempts would go along with a later write that no longer checks their job and
 /// the leader who granted them; with its answer lost, reading it back would then
 /// pass for leave to start them.
-fn untried(machines: &mut [Option<Machine>], w: &Written) {
-    let ours = machines.iter_mut().flatten().filter(|m| m.block == w.block);
+fn untried(machines: &mut Machines, w: &Written) {
+    let ours = machines.values_mut().filter(|m| m.block == w.block);
     for a in ours.flat_map(|m| &mut m.attempts).filter(|a| w.attempts.contains(&a.id)) {
         a.tried = a.written;
     }
@@ -565,7 +557,7 @@
 pub fn on_written(
     sh: &mut Shared,
     h: &mut HeldBlock,
-    machines: &mut [Option<Machine>],
+    machines: &mut Machines,
     w: Written,
     result: StateResult,
 ) {
@@ -581,8 +573,7 @@
             h.dirty = true;
             let mut emptier = Vec::new();
             let mut moved = 0;
-            for (ix, m) in machines.iter_mut().enumerate() {
-                let Some(m) = m.as_mut().filter(|m| m.block == w.block) else { continue };
+            for (ix, m) in machines.iter_mut().filter(|(_, m)| m.block == w.block) {
                 for a in &mut m.attempts {
                     if a.shelf == w.shelf {
                         if w.attempts.contains(&a.id) {
@@ -596,10 +587,10 @@
                 }
                 if m.shelf == Some(w.shelf) {
                     // A write sent before the row came here has not brought it.
-                    if w.flags.contains_key(&(ix as u32)) || !m.has_state() {
+                    if w.flags.contains_key(&ix) || !m.has_state() {
                         emptier.extend(m.row_from.take());
                     }
-                    let f = w.flags.get(&(ix as u32)).copied().unwrap_or(0);
+                    let f = w.flags.get(&ix).copied().unwrap_or(0);
                     m.row_kept = false;
                     m.isolated_written = f & ShelfMachine::ISOLATED != 0;
                     m.returning_written |= f & ShelfMachine::RETURNING != 0;
@@ -644,7 +635,7 @@
 pub fn on_reread(
     sh: &mut Shared,
     h: &mut HeldBlock,
-    machines: &mut [Option<Machine>],
+    machines: &mut Machines,
     (block, shelf): (u32, u32),
     result: StateResult,
 ) {
@@ -665,7 +656,7 @@
             let mut emptier = Vec::new();
             let listed: HashMap<&str, &ShelfMachine> =
                 rec.machines.iter().map(|m| (m.0.as_str(), m)).collect();
-            for m in machines.iter_mut().flatten().filter(|m| m.block == block) {
+            for m in machines.values_mut().filter(|m| m.block == block) {
                 let row = listed.get(m.name.as_str());
                 if m.shelf == Some(shelf) {
                     m.isolated_written = row.is_some_and(|r| r.is(ShelfMachine::ISOLATED));
@@ -694,7 +685,7 @@
         StateResult::Missing => {
             state.write = Write::Idle;
             state.stamp = 0;
-            let ours = machines.iter_mut().flatten().filter(|m| m.block == block);
+            let ours = machines.values_mut().filter(|m| m.block == block);
             for a in ours.flat_map(|m| &mut m.attempts).filter(|a| a.shelf == shelf) {
                 a.tried = a.written;
             }
--- /dev/null
+++ b/tests/memory_bounds.rs
@@ -0,0 +1,48 @@
+//! Bounds on what a node keeps in memory, counted without a clock.
+
+mod support;
+
+use support::{World, job};
+use woadlever::core::named_table::NamedTable;
+use woadlever::core::recent_names::RecentNames;
+
+#[test]
+fn machines_that_were_returned_leave_nothing_behind() {
+    let mut world = World::new(1, 1);
+    world.run(5_000);
+    for number in 1..=6 {
+        world.accept(0, &job(number, "t1", 8, 10.0));
+        assert!(world.until_done(&format!("run-{number:06}"), 120_000));
+        world.run(90_000);
+    }
+    assert!(world.returned.len() >= 6, "{} machines returned", world.returned.len());
+    let alive = world.workers.iter().filter(|worker| worker.alive).count();
+    let sizes = world.nodes[0].as_ref().expect("a node").0.sizes();
+    assert!(sizes.held_machines <= alive, "{sizes:?}, {alive} machines");
+    assert!(sizes.fleet_machines <= alive, "{sizes:?}, {alive} machines");
+    world.fair();
+}
+
+#[test]
+fn a_table_keeps_no_trace_of_what_was_removed_and_uses_no_index_twice() {
+    let mut table: NamedTable<u32> = NamedTable::default();
+    let (first, _) = table.get_or_insert_with("a", || 1);
+    assert_eq!(table.get_or_insert_with("a", || 2), (first, &mut 1));
+    assert_eq!(table.remove(first), Some(1));
+    assert_eq!((table.index_of("a"), table.get(first), table.len()), (None, None, 0));
+    let (second, _) = table.get_or_insert_with("a", || 3);
+    assert_ne!(first, second);
+    assert_eq!(table.remove(first), None);
+    assert_eq!(table.values().copied().collect::<Vec<u32>>(), [3]);
+}
+
+#[test]
+fn of_many_names_the_last_are_kept() {
+    let mut names = RecentNames::new(100);
+    for number in 0..1_000 {
+        assert!(names.insert(&format!("host-{number}")));
+        assert!(!names.insert(&format!("host-{number}")));
+    }
+    assert_eq!(names.len(), 100);
+    assert!(names.contains("host-900") && !names.contains("host-899"));
+}
