Maps by our own numbers use a hasher made for numbers

Cause: maps and sets keyed by attempts, jobs and machines used the standard hasher, which guards against chosen keys; these keys are our own. Taking in desired and reported state spends most of its time in them.

Change: rustc-hash, already used in places, for all of them in the core. Maps keyed by ids and names from outside keep the standard hasher.

--- a/src/core/dialogue.rs
+++ b/src/core/dialogue.rs
@@ -9,7 +9,7 @@
 use crate::wire::workers::{
     Command, DirectCommands, Op, Redirect, Report, ReportAnswer, ReportTask, TaskState,
 };
-use std::collections::HashSet;
+use rustc_hash::FxHashSet;
 
 /// A direct command is repeated after this time, so often at most, unless a report
 /// comes first.
@@ -150,7 +150,7 @@
         if sh.cancelled_now.is_empty() {
             return;
         }
-        let jobs: HashSet<u32> = std::mem::take(&mut sh.cancelled_now).into_iter().collect();
+        let jobs: FxHashSet<u32> = std::mem::take(&mut sh.cancelled_now).into_iter().collect();
         for m in self.machines.values_mut() {
             if m.held.is_none() && m.attempts.iter().any(|a| jobs.contains(&a.job)) {
                 stop_directly(sh, m);
@@ -270,7 +270,7 @@
     commands: &mut Vec<Command>,
 ) -> Vec<(u64, u32)> {
     let now = sh.now;
-    let mut listed: HashSet<u64> = HashSet::new();
+    let mut listed: FxHashSet<u64> = FxHashSet::default();
     for t in tasks {
         let found = split_task(&t.task).and_then(|(job, task)| {
             let job = sh.job_ix(job)?;
--- a/src/core/exchange.rs
+++ b/src/core/exchange.rs
@@ -6,8 +6,8 @@
 use super::model::{Ms, Res};
 use super::shared::Shared;
 use crate::wire::peer::{Body, Have, HaveJob, HaveState, HaveTask, Want, WantJob};
-use rustc_hash::FxHashSet;
-use std::collections::{BTreeMap, HashMap};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::BTreeMap;
 
 const WANT_GAP_MS: Ms = 30;
 const WANT_EVERY_MS: Ms = 500;
@@ -235,7 +235,7 @@
             return;
         }
         self.counts_at = sh.now;
-        let mut running: HashMap<u32, u32> = HashMap::new();
+        let mut running: FxHashMap<u32, u32> = FxHashMap::default();
         for a in self.attempts.values().filter(|a| a.state == HaveState::Running) {
             *running.entry(a.job).or_default() += 1;
         }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -15,7 +15,8 @@
 use super::{CloudOp, CloudResult};
 use crate::wire::cloud::{ListedMachine, MachineType, RentRequest, ReturnRequest};
 use crate::wire::peer::{HaveMachine, Retire};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::BTreeMap;
 
 /// Returned machines that are kept in mind: the cloud's list shows them for seconds,
 /// and late reports for minutes.
@@ -82,7 +83,7 @@
     /// What has become of the rent that this machine's overload asked for.
     ask: Option<Ask>,
     /// Jobs whose tasks failed here since the last success.
-    failed: HashSet<u32>,
+    failed: FxHashSet<u32>,
     shun_until: Ms,
     idle_since: Option<Ms>,
 }
@@ -141,14 +142,14 @@
     settled_at: Ms,
     pub(super) rents: Vec<Rent>,
     next_rent: u64,
-    pub(super) refused: HashMap<Offer, (Ms, Ms)>,
-    calls: HashMap<u64, CloudCall>,
+    pub(super) refused: FxHashMap<Offer, (Ms, Ms)>,
+    calls: FxHashMap<u64, CloudCall>,
     pace: Pace,
     trouble_until: Ms,
     returns_at: Ms,
     list_at: Ms,
     list_page: Option<String>,
-    list_seen: HashSet<u32>,
+    list_seen: FxHashSet<u32>,
     listed_once: bool,
     catalog_at: Ms,
     catalog_known: bool,
@@ -173,14 +174,14 @@
             settled_at: Ms::MAX,
             rents: Vec::new(),
             next_rent: 0,
-            refused: HashMap::new(),
-            calls: HashMap::new(),
+            refused: FxHashMap::default(),
+            calls: FxHashMap::default(),
             pace: Pace::new(rps * 0.85, rps, sh.now),
             trouble_until: 0,
             returns_at: 0,
             list_at: 0,
             list_page: None,
-            list_seen: HashSet::new(),
+            list_seen: FxHashSet::default(),
             listed_once: false,
             catalog_at: 0,
             catalog_known: false,
@@ -254,7 +255,7 @@
             overloaded: false,
             peak: 0.0,
             ask: None,
-            failed: HashSet::new(),
+            failed: FxHashSet::default(),
             shun_until: 0,
             idle_since: None,
         });
@@ -394,7 +395,7 @@
     /// Machines that won't boot, have vanished or are drained go back.
     fn upkeep(&mut self, sh: &mut Shared) {
         let now = sh.now;
-        let busy: HashSet<u32> = self.attempts.values().filter_map(|a| a.machine).collect();
+        let busy: FxHashSet<u32> = self.attempts.values().filter_map(|a| a.machine).collect();
         let lease = (sh.cfg.cluster.workers.lease_s * 1000.0) as Ms;
         for (ix, m) in self.fleet.machines.iter_mut() {
             if busy.contains(&ix) {
@@ -462,7 +463,7 @@
             .collect();
         self.fleet.history.record(&booked, sh.op.season);
         let present = self.bookings(sh);
-        let busy: HashSet<u32> =
+        let busy: FxHashSet<u32> =
             self.attempts.values().filter(|a| a.counts()).filter_map(|a| a.machine).collect();
         let mut counts = BTreeMap::new();
         for k in 0..sh.types.len() {
@@ -582,8 +583,8 @@
     /// One rent for each machine projected overloaded, none more while that
     /// rent is pending or booting, all within the waiting tasks' room.
     fn overload_rents(&mut self, sh: &mut Shared, mut plan: BTreeMap<Offer, u32>) {
-        let pending: HashSet<u64> = self.fleet.rents.iter().map(|r| r.number).collect();
-        let booting: HashSet<u32> = self
+        let pending: FxHashSet<u64> = self.fleet.rents.iter().map(|r| r.number).collect();
+        let booting: FxHashSet<u32> = self
             .fleet
             .machines
             .iter()
--- a/src/core/grants.rs
+++ b/src/core/grants.rs
@@ -12,7 +12,8 @@
 use super::window::{allowed, fit_score};
 use crate::config::Objective;
 use crate::wire::peer::HaveState;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::BTreeMap;
 
 /// Grants of one round; the next one follows at once.
 const MAX_GRANTS: usize = 400;
@@ -116,7 +117,7 @@
 
     /// Machines that may get tasks now, with what is free on them.
     pub fn rooms(&self, sh: &Shared) -> Rooms {
-        let mut used: HashMap<u32, Res> = HashMap::new();
+        let mut used: FxHashMap<u32, Res> = FxHashMap::default();
         for a in self.attempts.values().filter(|a| a.counts()) {
             if let Some(m) = a.machine {
                 used.entry(m).or_default().add(&a.need);
@@ -143,7 +144,7 @@
         let mut by_age: Vec<(u64, u32)> = self.jobs.iter().map(|(ix, j)| (j.ready_ms, *ix)).collect();
         by_age.sort_unstable();
         let mut sums = vec![Res::default(); sh.cfg.cluster.teams.len()];
-        let mut within: HashMap<u32, bool> = HashMap::new();
+        let mut within: FxHashMap<u32, bool> = FxHashMap::default();
         for (_, ix) in by_age {
             let j = &self.jobs[&ix];
             let t = &sh.cfg.cluster.teams[j.team];
@@ -190,8 +191,8 @@
     }
 
     /// What jobs with others behind them inherit from those.
-    fn heirs(&self, sh: &Shared) -> HashMap<u32, Inherited> {
-        let mut known = HashMap::new();
+    fn heirs(&self, sh: &Shared) -> FxHashMap<u32, Inherited> {
+        let mut known = FxHashMap::default();
         for ix in self.jobs.keys().filter(|ix| !sh.job(**ix).links.after.is_empty()) {
             self.inherited(sh, *ix, &mut known);
         }
@@ -289,7 +290,7 @@
         let oldest = old.first().map(|(_, ix)| *ix).filter(|_| self.rounds.is_multiple_of(OLDEST_EVERY));
         let unserved =
             |ix: &u32| !served.contains(ix) && self.jobs.get(ix).is_some_and(|j| j.done.is_empty());
-        let mut teams: HashSet<usize> = HashSet::new();
+        let mut teams: FxHashSet<usize> = FxHashSet::default();
         let mut out: Vec<u32> = old
             .iter()
             .map(|(_, ix)| *ix)
@@ -301,7 +302,7 @@
     }
 
     /// Jobs with a task that is or may be on a machine.
-    fn served(&self) -> HashSet<u32> {
+    fn served(&self) -> FxHashSet<u32> {
         self.attempts.values().filter(|a| a.counts()).map(|a| a.job).collect()
     }
 
@@ -324,7 +325,7 @@
         if old.is_empty() {
             return;
         }
-        let mut there: HashMap<u32, Vec<u64>> = HashMap::new();
+        let mut there: FxHashMap<u32, Vec<u64>> = FxHashMap::default();
         for (id, a) in self.attempts.iter().filter(|(_, a)| a.want && !a.bind && a.counts()) {
             if let Some(m) = a.machine {
                 there.entry(m).or_default().push(id);
@@ -499,7 +500,7 @@
 pub struct Zones {
     one: bool,
     most: Option<u32>,
-    counts: HashMap<String, u32>,
+    counts: FxHashMap<String, u32>,
 }
 
 impl Zones {
@@ -507,7 +508,7 @@
         let mut z = Zones {
             one: spec.one_zone,
             most: spec.spread.then(|| spec.tasks.div_ceil(2)),
-            counts: HashMap::new(),
+            counts: FxHashMap::default(),
         };
         if z.one || z.most.is_some() {
             // By block, which lies in one zone: the machine itself may be unknown
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -19,7 +19,7 @@
 use crate::wire::peer::Want;
 use crate::wire::state::{Item, JobState, ShelfMachine, ShelfRecord};
 use crate::wire::workers::{Command, Report};
-use std::collections::{HashMap, HashSet};
+use rustc_hash::{FxHashMap, FxHashSet};
 
 /// Machines of the blocks held here.
 pub type Machines = NamedTable<Machine>;
@@ -61,7 +61,7 @@
     pub term: u64,
     pub(super) echo: u64,
     /// Bindings refused here, until the leader has taken note.
-    pub(super) rejected: HashSet<u64>,
+    pub(super) rejected: FxHashSet<u64>,
     /// A picture that speaks of jobs yet unknown here.
     pub(super) parked: Option<(Want, Ms)>,
     pub(super) waiting: Vec<(u32, u32)>,
@@ -298,7 +298,7 @@
                     load: Load::Wanted { at: sh.now },
                     term: 0,
                     echo: 0,
-                    rejected: HashSet::new(),
+                    rejected: FxHashSet::default(),
                     parked: None,
                     waiting: Vec::new(),
                     dirty: true,
@@ -478,11 +478,11 @@
         h.term = w.term;
         h.echo = w.serial;
         h.dirty = true;
-        let mut wanted: HashMap<u64, (u32, u32, bool, Ms)> = HashMap::new();
+        let mut wanted: FxHashMap<u64, (u32, u32, bool, Ms)> = FxHashMap::default();
         // The leader takes what our next picture leaves out for never bound and
         // puts it elsewhere. So a task whose job is yet unknown here is refused
         // for good: bound with a later picture, it would run twice.
-        let mut unknown: HashSet<u64> = HashSet::new();
+        let mut unknown: FxHashSet<u64> = FxHashSet::default();
         for j in &w.jobs {
             let Some(job) = sh.job_ix(&j.job) else {
                 unknown.extend(j.tasks.iter().map(|t| t.1));
@@ -498,9 +498,9 @@
         for name in &w.gone {
             self.forget_machine(sh, name, w.block);
         }
-        let isolated: HashSet<&str> = w.isolated.iter().map(String::as_str).collect();
-        let retire: HashSet<&str> = w.retire.iter().map(|r| r.machine.as_str()).collect();
-        let shunned: HashSet<&str> = w.shunned.iter().map(String::as_str).collect();
+        let isolated: FxHashSet<&str> = w.isolated.iter().map(String::as_str).collect();
+        let retire: FxHashSet<&str> = w.retire.iter().map(|r| r.machine.as_str()).collect();
+        let shunned: FxHashSet<&str> = w.shunned.iter().map(String::as_str).collect();
         for r in &w.retire {
             if self.gone.contains(&r.machine) {
                 continue;
@@ -515,7 +515,7 @@
             });
             m.retire = true;
         }
-        let mut known: HashSet<u64> = HashSet::new();
+        let mut known: FxHashSet<u64> = FxHashSet::default();
         for m in self.machines.values_mut().filter(|m| m.block == w.block) {
             m.isolated = isolated.contains(m.name.as_str());
             m.retire = m.returning_written || retire.contains(m.name.as_str());
--- a/src/core/ljobs.rs
+++ b/src/core/ljobs.rs
@@ -7,7 +7,8 @@
 use super::shared::Shared;
 use crate::wire::peer::HaveState;
 use crate::wire::state::JobState;
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use rustc_hash::FxHashSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 #[derive(Debug)]
@@ -28,7 +29,7 @@
     pub retry: Vec<u32>,
     /// Times that tasks failed without any having succeeded since.
     pub fails: u32,
-    pub failed_on: HashSet<u32>,
+    pub failed_on: FxHashSet<u32>,
     pub hold_until: Ms,
     /// Within its team's guarantee, with the team's earlier jobs.
     pub within: bool,
@@ -55,7 +56,7 @@
             next: 0,
             retry: Vec::new(),
             fails: 0,
-            failed_on: HashSet::new(),
+            failed_on: FxHashSet::default(),
             hold_until: 0,
             within: false,
             ready_ms,
--- a/src/core/picture.rs
+++ b/src/core/picture.rs
@@ -6,8 +6,9 @@
 use super::shared::Shared;
 use super::window::{self, Booking};
 use crate::wire::peer::{Body, Have, HaveJob, HaveMachine, HaveState, HaveTask};
+use rustc_hash::FxHashMap;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::BinaryHeap;
 
 /// Sooner than this no second picture of a block is sent.
 const HAVE_GAP_MS: Ms = 60;
@@ -18,8 +19,8 @@
 impl Holder {
     /// Each waiting task counts once, on its best-fit machine: the one with the
     /// most room left when earlier ones are counted.
-    fn waiting_on(&self, sh: &Shared, block: usize) -> HashMap<u32, Res> {
-        let mut extra: HashMap<u32, Res> = HashMap::new();
+    fn waiting_on(&self, sh: &Shared, block: usize) -> FxHashMap<u32, Res> {
+        let mut extra: FxHashMap<u32, Res> = FxHashMap::default();
         let Some(h) = self.blocks[block].as_ref().filter(|h| !h.waiting.is_empty()) else {
             return extra;
         };
@@ -114,7 +115,7 @@
                 jobs: Vec::new(),
                 machines: Vec::new(),
             };
-            let mut rows: HashMap<u32, u32> = HashMap::new();
+            let mut rows: FxHashMap<u32, u32> = FxHashMap::default();
             for m in self.machines.values().filter(|m| m.block as usize == b) {
                 let m = have_machine(sh, m, &mut have, &mut rows);
                 have.machines.push(m);
@@ -126,7 +127,12 @@
 }
 
 /// A machine as the picture shows it; `rows` are the places of its jobs there.
-fn have_machine(sh: &Shared, m: &Machine, have: &mut Have, rows: &mut HashMap<u32, u32>) -> HaveMachine {
+fn have_machine(
+    sh: &Shared,
+    m: &Machine,
+    have: &mut Have,
+    rows: &mut FxHashMap<u32, u32>,
+) -> HaveMachine {
     let known = have.types.iter().position(|t| *t == m.type_name);
     let machine_type = known.unwrap_or_else(|| {
         have.types.push(m.type_name.clone());
--- a/src/core/pipelines.rs
+++ b/src/core/pipelines.rs
@@ -23,7 +23,8 @@
 use super::{Purpose, StateOp, StateResult};
 use crate::wire::encoded::Encoded;
 use crate::wire::state::{Change, Cond, JobRecord, JobState, Txn};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::BTreeSet;
 
 /// What a pipeline's next stage takes beside its run: recorded, granted and told
 /// to a machine; and the pace of its image.
@@ -182,10 +183,10 @@
     /// What the job inherits through the whole chain of those that need it.
     /// `known` keeps what has been found, so that a round looks at each job of
     /// a pipeline once.
-    pub(super) fn inherited(&self, sh: &Shared, ix: u32, known: &mut HashMap<u32, Inherited>) {
+    pub(super) fn inherited(&self, sh: &Shared, ix: u32, known: &mut FxHashMap<u32, Inherited>) {
         let mut path = vec![ix];
         // Records of another hand could name each other in a ring.
-        let mut on_path = HashSet::from([ix]);
+        let mut on_path = FxHashSet::from_iter([ix]);
         while let Some(&at) = path.last() {
             let job = sh.job(at);
             let (Some(spec), false) = (&job.spec, known.contains_key(&at)) else {
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -7,7 +7,8 @@
 use super::model::Res;
 use super::shared::Shared;
 use super::window::allowed;
-use std::collections::{BTreeMap, HashMap};
+use rustc_hash::FxHashMap;
+use std::collections::BTreeMap;
 
 /// What a machine of a type that other work depends on is taken to cost more
 /// to work that fits elsewhere.
@@ -79,7 +80,7 @@
         }
         let mut new = 0;
         let mut used = self.team_use(sh);
-        let mut count: HashMap<(usize, &str, bool), u32> = HashMap::new();
+        let mut count: FxHashMap<(usize, &str, bool), u32> = FxHashMap::default();
         for m in self.fleet.machines.values() {
             *count.entry((m.kind, m.zone.as_str(), m.spot)).or_default() += 1;
         }
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -10,8 +10,8 @@
 use crate::wire::users::{ErrorBody, valid_id};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use rustc_hash::FxHashSet;
-use std::collections::{HashMap, HashSet};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// Machines and tasks in pictures that a whole core is taken to handle in a
@@ -112,7 +112,7 @@
     pub jobs_changed: Vec<u32>,
     pub types: Vec<MachineType>,
     /// Types that live work depends on, as it fits no other.
-    pub scarce: HashSet<usize>,
+    pub scarce: FxHashSet<usize>,
     scarce_at: Ms,
     pub catalog_stamps: HashMap<String, u64>,
 
@@ -137,7 +137,7 @@
 
     pub out: Vec<Output>,
     pub local: Vec<Frame>,
-    pub calls: HashMap<u64, (Purpose, Ms)>,
+    pub calls: FxHashMap<u64, (Purpose, Ms)>,
     next_call: u64,
     last_beat: Ms,
     next_drop: Ms,
@@ -174,7 +174,7 @@
             jobs: JobTable::default(),
             jobs_changed: Vec::new(),
             types: Vec::new(),
-            scarce: HashSet::new(),
+            scarce: FxHashSet::default(),
             scarce_at: 0,
             catalog_stamps: HashMap::new(),
             synced: false,
@@ -189,7 +189,7 @@
             cancelled_here: Vec::new(),
             out: Vec::new(),
             local: Vec::new(),
-            calls: HashMap::new(),
+            calls: FxHashMap::default(),
             next_call: 1,
             last_beat: 0,
             next_drop: 0,
@@ -424,7 +424,7 @@
             return;
         }
         self.scarce_at = self.now + SCARCE_EVERY_MS;
-        let mut found = HashSet::new();
+        let mut found = FxHashSet::default();
         for spec in
             self.jobs.values().filter(|j| j.state == JobState::Live).filter_map(|j| j.spec.as_ref())
         {
--- a/src/core/shelves.rs
+++ b/src/core/shelves.rs
@@ -23,7 +23,7 @@
 use super::{Purpose, StateOp, StateResult};
 use crate::wire::encoded::Encoded;
 use crate::wire::state::{Change, Cond, JobState, ShelfJob, ShelfMachine, ShelfRecord, Txn};
-use std::collections::{HashMap, HashSet};
+use rustc_hash::{FxHashMap, FxHashSet};
 
 /// Bytes kept free in a record for what the estimate leaves out.
 const RECORD_SLACK: usize = 200;
@@ -57,7 +57,7 @@
     pub stale: Option<Ms>,
     /// At most so many bytes long, with all that waits to be written.
     bytes: usize,
-    jobs: HashSet<u32>,
+    jobs: FxHashSet<u32>,
     /// Its record was read, and is longer than a write may be.
     long: bool,
 }
@@ -71,7 +71,7 @@
             next_at: 0,
             stale: None,
             bytes: RECORD_SLACK + bytes,
-            jobs: HashSet::new(),
+            jobs: FxHashSet::default(),
             long: false,
         }
     }
@@ -89,10 +89,10 @@
     pub shelf: u32,
     grant: u64,
     /// Attempts whose `run` may go out once this is on record.
-    attempts: HashSet<u64>,
+    attempts: FxHashSet<u64>,
     /// Copied from longer records.
-    moved: HashSet<u64>,
-    flags: HashMap<u32, u8>,
+    moved: FxHashSet<u64>,
+    flags: FxHashMap<u32, u8>,
 }
 
 fn limit(sh: &Shared) -> usize {
@@ -136,14 +136,14 @@
     }
     // What each shelf will hold once it is written anew.
     let mut live = vec![HEAD_BYTES + RECORD_SLACK; h.shelves.len()];
-    let mut jobs: HashSet<(u32, u32)> = HashSet::new();
+    let mut jobs: FxHashSet<(u32, u32)> = FxHashSet::default();
     for m in machines.values().filter(|m| m.block == block) {
         let mut add = |s: u32, n: usize| {
             if let Some(b) = live.get_mut(s as usize) {
                 *b += n;
             }
         };
-        let mut rows: HashSet<u32> = HashSet::new();
+        let mut rows: FxHashSet<u32> = FxHashSet::default();
         if let Some(s) = m.shelf
             && (m.row_kept || m.has_state() || m.can_retire())
         {
@@ -230,13 +230,13 @@
 fn spread_out(sh: &Shared, h: &mut HeldBlock, machines: &mut Machines, block: u32, shelf: u32) {
     let most = limit(sh) * 9 / 10;
     let mut bytes = HEAD_BYTES;
-    let mut jobs: HashSet<u32> = HashSet::new();
+    let mut jobs: FxHashSet<u32> = FxHashSet::default();
     for m in machines.values_mut().filter(|m| m.block == block) {
         let row = m.shelf == Some(shelf) && (m.isolated || m.returning_written);
         let here = |a: &&mut Attempt| a.shelf == shelf && a.moving.is_none();
         let mut more = machine_bytes(&m.name);
         let mut any = row;
-        let mut new: HashSet<u32> = HashSet::new();
+        let mut new: FxHashSet<u32> = FxHashSet::default();
         for a in m.attempts.iter_mut().filter(here) {
             any = true;
             more += ATTEMPT_BYTES;
@@ -287,7 +287,7 @@
 /// What a record holds in any case: rows that it may have already, and those
 /// of machines with a state of their own.
 fn due_bytes(machines: &Machines, block: u32, shelf: u32, base: u64) -> usize {
-    let mut jobs: HashSet<u32> = HashSet::new();
+    let mut jobs: FxHashSet<u32> = FxHashSet::default();
     let mut bytes = HEAD_BYTES;
     for m in machines.values().filter(|m| m.block == block) {
         let mut row = m.shelf == Some(shelf) && (m.isolated || m.returning_written || m.can_retire());
@@ -340,7 +340,7 @@
         }
     }
     // What waits, shelf by shelf; false: not pressing.
-    let mut needs: HashMap<(u32, u32), bool> = HashMap::new();
+    let mut needs: FxHashMap<(u32, u32), bool> = FxHashMap::default();
     for m in machines.values_mut() {
         let Some(h) = blocks[m.block as usize].as_mut() else { continue };
         if h.load != Load::Done || h.grant != m.grant {
@@ -431,15 +431,15 @@
     };
     let most_conds = 4 * sh.cfg.cluster.state.txn_ops;
     let mut rec = ShelfRecord::default();
-    let mut jobs: HashMap<u32, u32> = HashMap::new();
-    let mut checked: HashSet<u32> = HashSet::new();
+    let mut jobs: FxHashMap<u32, u32> = FxHashMap::default();
+    let mut checked: FxHashSet<u32> = FxHashSet::default();
     let mut done = Written {
         block,
         shelf,
         grant: h.grant,
-        attempts: HashSet::new(),
-        moved: HashSet::new(),
-        flags: HashMap::new(),
+        attempts: FxHashSet::default(),
+        moved: FxHashSet::default(),
+        flags: FxHashMap::default(),
     };
     let here = |a: &&Attempt| a.shelf == shelf || a.moving == Some(shelf);
     let ids = machines
@@ -656,7 +656,7 @@
             state.stale.get_or_insert(sh.now);
             state.long |= bytes > limit(sh);
             let mut emptier = Vec::new();
-            let listed: HashMap<&str, &ShelfMachine> =
+            let listed: FxHashMap<&str, &ShelfMachine> =
                 rec.machines.iter().map(|m| (m.0.as_str(), m)).collect();
             for m in machines.values_mut().filter(|m| m.block == block) {
                 let row = listed.get(m.name.as_str());
