--- a/src/main.rs
+++ b/src/main.rs
@@ -7,11 +7,6 @@
 use std::process::ExitCode;
 use woadlever::config::{Operator, Platform};
 
-/// Reports, records and frames are many small allocations; the system's allocator
-/// took up to a quarter of the processor time for them.
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// A cluster scheduler that rents its machines ahead of demand.
 #[derive(Parser)]
 #[command(name = "woadlever", version, about)]
