--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -27,6 +27,7 @@
 pub mod progress;
 pub mod rebuild;
 pub mod recent_names;
+mod record_draft;
 pub mod shared;
 pub mod shelves;
 pub mod sync;
--- /dev/null
+++ b/src/core/record_draft.rs
@@ -0,0 +1,143 @@
+//! A placement record while it is put together for a write: which attempts go into
+//! it, and under which conditions.
+
+use super::holder::{Attempt, Machine};
+use super::shared::Shared;
+use super::shelves::{Written, digits, limit, machine_bytes};
+use super::sync::job_key;
+use crate::wire::state::{Cond, ShelfJob, ShelfMachine, ShelfRecord};
+use rustc_hash::{FxHashMap, FxHashSet};
+
+/// Separators around an attempt's three numbers.
+const ATTEMPT_OVERHEAD: usize = 5;
+/// Conditions that a transaction may have for each change.
+const CONDS_PER_CHANGE: usize = 4;
+
+/// The record of one shelf as it will be written.
+pub(super) struct RecordDraft {
+    pub(super) record: ShelfRecord,
+    /// Rows of the record's jobs.
+    pub(super) job_rows: FxHashMap<u32, u32>,
+    pub(super) written: Written,
+    pub(super) conds: Vec<Cond>,
+    /// Jobs with a condition of their own.
+    checked_jobs: FxHashSet<u32>,
+    /// Length of the record with all that it holds in any case and what was added.
+    bytes: usize,
+    /// Whether attempts that are not on record yet may be added.
+    takes_new: bool,
+}
+
+impl RecordDraft {
+    pub(super) fn new(
+        written: Written,
+        conds: Vec<Cond>,
+        base: u64,
+        bytes: usize,
+        takes_new: bool,
+    ) -> RecordDraft {
+        RecordDraft {
+            record: ShelfRecord { base, ..ShelfRecord::default() },
+            job_rows: FxHashMap::default(),
+            written,
+            conds,
+            checked_jobs: FxHashSet::default(),
+            bytes,
+            takes_new,
+        }
+    }
+
+    /// Adds the machine's own state and its attempts, as far as they belong here.
+    pub(super) fn add_machine(&mut self, sh: &Shared, index: u32, machine: &mut Machine) {
+        let shelf = self.written.shelf;
+        let own = machine.shelf == Some(shelf);
+        let flags = if own { state_flags(machine) } else { 0 };
+        let has_state = flags != 0;
+        let flags = flags | if machine.spot { ShelfMachine::SPOT } else { 0 };
+        let mut row_bytes = machine_bytes(&machine.name);
+        let mut tasks = Vec::new();
+        let here = |a: &&mut Attempt| a.shelf == shelf || a.moving == Some(shelf);
+        for attempt in machine.attempts.iter_mut().filter(here) {
+            if !self.add_attempt(sh, attempt, row_bytes) {
+                continue;
+            }
+            row_bytes = 0;
+            let row = self.job_row(sh, attempt);
+            tasks.extend([u64::from(row), u64::from(attempt.task), attempt.id - self.record.base]);
+        }
+        if tasks.is_empty() && !has_state {
+            return;
+        }
+        let type_row = self.type_row(&machine.type_name);
+        self.record.machines.push(ShelfMachine(machine.name.clone(), type_row, flags, tasks));
+        if own {
+            self.written.flags.insert(index, flags);
+        }
+    }
+
+    /// Whether the attempt is part of the record. `row_bytes` is what its machine's
+    /// row takes, if it is the machine's first.
+    fn add_attempt(&mut self, sh: &Shared, attempt: &mut Attempt, row_bytes: usize) -> bool {
+        let job_bytes = if self.job_rows.contains_key(&attempt.job) { 0 } else { attempt.job_row_bytes };
+        let numbers = digits(u64::from(attempt.task)) + digits(attempt.id - self.record.base);
+        let bytes = ATTEMPT_OVERHEAD + numbers + row_bytes + job_bytes;
+        let fits = self.bytes + bytes <= limit(sh);
+        if attempt.moving == Some(self.written.shelf) {
+            // On record elsewhere, so that it needs no condition of its own.
+            if fits {
+                self.bytes += bytes;
+                self.written.moved.insert(attempt.id);
+            }
+            return fits;
+        }
+        let may_add = self.takes_new && attempt.moving.is_none() && attempt.unwritten(sh) && fits;
+        if may_add && self.check_job(sh, attempt.job) {
+            self.bytes += bytes;
+            attempt.tried = true;
+            self.written.attempts.insert(attempt.id);
+            return true;
+        }
+        attempt.written || attempt.tried
+    }
+
+    /// Makes the write depend on the job's record. False: there are more jobs than
+    /// a transaction has conditions, and the rest goes with the next.
+    fn check_job(&mut self, sh: &Shared, job: u32) -> bool {
+        if self.checked_jobs.contains(&job) {
+            return true;
+        }
+        if self.conds.len() >= CONDS_PER_CHANGE * sh.cfg.cluster.state.txn_ops {
+            return false;
+        }
+        self.checked_jobs.insert(job);
+        self.conds.push(Cond { key: job_key(sh.jobs.id(job)), version: sh.job(job).version });
+        true
+    }
+
+    fn job_row(&mut self, sh: &Shared, attempt: &Attempt) -> u32 {
+        let jobs = &mut self.record.jobs;
+        *self.job_rows.entry(attempt.job).or_insert_with(|| {
+            let need = &attempt.need;
+            let id = sh.jobs.id(attempt.job).to_string();
+            jobs.push(ShelfJob(id, attempt.team.clone(), need.cpus, need.gpus, need.mem));
+            jobs.len() as u32 - 1
+        })
+    }
+
+    fn type_row(&mut self, type_name: &str) -> u32 {
+        let types = &mut self.record.types;
+        let known = types.iter().position(|known| known == type_name);
+        let row = known.unwrap_or_else(|| {
+            types.push(type_name.to_string());
+            types.len() - 1
+        });
+        row as u32
+    }
+}
+
+/// What the record of a machine's own shelf has to say of it.
+fn state_flags(machine: &Machine) -> u8 {
+    let isolated = if machine.isolated { ShelfMachine::ISOLATED } else { 0 };
+    let returning = machine.returning_written || machine.can_retire();
+    isolated | if returning { ShelfMachine::RETURNING } else { 0 }
+}
--- a/src/core/shelves.rs
+++ b/src/core/shelves.rs
@@ -18,11 +18,12 @@
 
 use super::holder::{Attempt, HeldBlock, HolderCall, Load, Machine, Machines};
 use super::model::{Ms, Res};
+use super::record_draft::RecordDraft;
 use super::shared::Shared;
-use super::sync::{LEADER, block_key, job_key};
+use super::sync::{LEADER, block_key};
 use super::{Purpose, StateOp, StateResult};
 use crate::wire::encoded::Encoded;
-use crate::wire::state::{Change, Cond, JobState, ShelfJob, ShelfMachine, ShelfRecord, Txn};
+use crate::wire::state::{Change, Cond, JobState, ShelfMachine, ShelfRecord, Txn};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 /// Bytes kept free in a record for what the estimate leaves out.
@@ -89,13 +90,14 @@
     pub shelf: u32,
     grant: u64,
     /// Attempts whose `run` may go out once this is on record.
-    attempts: FxHashSet<u64>,
+    pub(super) attempts: FxHashSet<u64>,
     /// Copied from longer records.
-    moved: FxHashSet<u64>,
-    flags: FxHashMap<u32, u8>,
+    pub(super) moved: FxHashSet<u64>,
+    /// What the record says of machines whose own state is on it.
+    pub(super) flags: FxHashMap<u32, u8>,
 }
 
-fn limit(sh: &Shared) -> usize {
+pub(super) fn limit(sh: &Shared) -> usize {
     sh.cfg.cluster.state.value_bytes()
 }
 
@@ -104,7 +106,7 @@
 /// What a job's or a machine's row takes, names of usual length given.
 const MOST_HEADER: usize = 100;
 
-fn machine_bytes(name: &str) -> usize {
+pub(super) fn machine_bytes(name: &str) -> usize {
     name.len() + 14
 }
 
@@ -306,7 +308,7 @@
 }
 
 /// The length of a number and the comma after it.
-fn digits(n: u64) -> usize {
+pub(super) fn digits(n: u64) -> usize {
     n.checked_ilog10().unwrap_or(0) as usize + 2
 }
 
@@ -421,19 +423,18 @@
 ) {
     let block_name = sh.blocks[block as usize].name.clone();
     let key = shelf_key(&block_name, shelf);
-    let mut txn = Txn {
-        conds: vec![
-            Cond { key: LEADER.into(), version: term },
-            Cond { key: block_key(&block_name), version: h.grant },
-            Cond { key: key.clone(), version: h.shelves[shelf as usize].stamp },
-        ],
-        changes: Vec::new(),
-    };
-    let most_conds = 4 * sh.cfg.cluster.state.txn_ops;
-    let mut rec = ShelfRecord::default();
-    let mut jobs: FxHashMap<u32, u32> = FxHashMap::default();
-    let mut checked: FxHashSet<u32> = FxHashSet::default();
-    let mut done = Written {
+    let conds = vec![
+        Cond { key: LEADER.into(), version: term },
+        Cond { key: block_key(&block_name), version: h.grant },
+        Cond { key: key.clone(), version: h.shelves[shelf as usize].stamp },
+    ];
+    let here = |a: &&Attempt| a.shelf == shelf || a.moving == Some(shelf);
+    let ids = machines
+        .values()
+        .filter(|m| m.block == block)
+        .flat_map(|m| m.attempts.iter().filter(here).map(|a| a.id));
+    let base = ids.min().unwrap_or(0);
+    let written = Written {
         block,
         shelf,
         grant: h.grant,
@@ -441,97 +442,24 @@
         moved: FxHashSet::default(),
         flags: FxHashMap::default(),
     };
-    let here = |a: &&Attempt| a.shelf == shelf || a.moving == Some(shelf);
-    let ids = machines
-        .values()
-        .filter(|m| m.block == block)
-        .flat_map(|m| m.attempts.iter().filter(here).map(|a| a.id));
-    rec.base = ids.min().unwrap_or(0);
-    let mut bytes = due_bytes(machines, block, shelf, rec.base);
+    let bytes = due_bytes(machines, block, shelf, base);
+    // A binding granted by a former leader has no standing.
+    let takes_new = h.term == term;
+    let mut draft = RecordDraft::new(written, conds, base, bytes, takes_new);
     for (ix, m) in machines.iter_mut().filter(|(_, m)| m.block == block) {
-        let mut flags = 0;
-        let own = m.shelf == Some(shelf);
-        let mut flag = |on: bool, f: u8| flags |= if on && own { f } else { 0 };
-        flag(m.isolated, ShelfMachine::ISOLATED);
-        flag(m.returning_written || m.can_retire(), ShelfMachine::RETURNING);
-        let keep = flags != 0;
-        if m.spot {
-            flags |= ShelfMachine::SPOT;
-        }
-        let mut tasks = Vec::new();
-        for a in m.attempts.iter_mut().filter(|a| a.shelf == shelf || a.moving == Some(shelf)) {
-            // A binding granted by a former leader has no standing.
-            let header = a.job_row_bytes;
-            let more = 5
-                + digits(u64::from(a.task))
-                + digits(a.id - rec.base)
-                + if tasks.is_empty() { machine_bytes(&m.name) } else { 0 }
-                + if jobs.contains_key(&a.job) { 0 } else { header };
-            let mut fresh =
-                h.term == term && a.moving.is_none() && a.unwritten(sh) && bytes + more <= limit(sh);
-            if fresh && !checked.contains(&a.job) {
-                if txn.conds.len() < most_conds {
-                    checked.insert(a.job);
-                    let name = sh.jobs.id(a.job);
-                    txn.conds.push(Cond { key: job_key(name), version: sh.job(a.job).version });
-                } else {
-                    // More jobs than one transaction has conditions: the rest
-                    // goes with the next.
-                    fresh = false;
-                }
-            }
-            if a.moving == Some(shelf) {
-                // On record elsewhere, so that it needs no condition of its own.
-                if bytes + more > limit(sh) {
-                    continue;
-                }
-                bytes += more;
-                done.moved.insert(a.id);
-            } else if !(a.written || a.tried || fresh) {
-                continue;
-            }
-            if fresh {
-                bytes += more;
-                a.tried = true;
-                done.attempts.insert(a.id);
-            }
-            let row = *jobs.entry(a.job).or_insert_with(|| {
-                let name = sh.jobs.id(a.job);
-                rec.jobs.push(ShelfJob(
-                    name.to_string(),
-                    a.team.clone(),
-                    a.need.cpus,
-                    a.need.gpus,
-                    a.need.mem,
-                ));
-                rec.jobs.len() as u32 - 1
-            });
-            let row = [u64::from(row), u64::from(a.task), a.id - rec.base];
-            tasks.extend(row);
-        }
-        if tasks.is_empty() && !keep {
-            continue;
-        }
-        let known = rec.types.iter().position(|t| *t == m.type_name);
-        let type_ix = known.unwrap_or_else(|| {
-            rec.types.push(m.type_name.clone());
-            rec.types.len() - 1
-        });
-        rec.machines.push(ShelfMachine(m.name.clone(), type_ix as u32, flags, tasks));
-        if own {
-            done.flags.insert(ix, flags);
-        }
+        draft.add_machine(sh, ix, m);
     }
+    let RecordDraft { record, job_rows, written, conds, .. } = draft;
     let state = &mut h.shelves[shelf as usize];
     state.write = Write::Flying;
     state.stale = None;
-    state.jobs = jobs.into_keys().collect();
+    state.jobs = job_rows.into_keys().collect();
     // What is bound but did not get its condition yet still needs its place.
-    let value = Encoded::new(&rec);
+    let value = Encoded::new(&record);
     let bytes = value.len() + RECORD_SLACK;
-    state.bytes = bytes + unwritten_bytes(sh, machines, block, shelf, &done);
-    txn.changes.push(Change::Put { key, value, lease: None });
-    sh.state_call(Purpose::Holder(HolderCall::Write(done)), StateOp::Txn(txn));
+    state.bytes = bytes + unwritten_bytes(sh, machines, block, shelf, &written);
+    let txn = Txn { conds, changes: vec![Change::Put { key, value, lease: None }] };
+    sh.state_call(Purpose::Holder(HolderCall::Write(written)), StateOp::Txn(txn));
 }
 
 fn unwritten_bytes(sh: &Shared, machines: &Machines, block: u32, shelf: u32, done: &Written) -> usize {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! `wire` holds the formats that both speak.
 
 #![forbid(unsafe_code)]
+#![deny(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::too_many_lines)]
 
 pub mod config;
 pub mod core;
