--- a/src/core/door.rs
+++ b/src/core/user_api.rs
@@ -27,7 +27,7 @@
 const CANCEL_TRIES: u32 = 4;
 
 #[derive(Debug)]
-pub enum DoorCall {
+pub enum UserApiCall {
     Submit { req: u64, id: String, state: JobState },
     Read { id: String },
     Cancel { req: u64, id: String, tries: u32 },
@@ -69,13 +69,13 @@
 #[derive(Debug, Default)]
 struct Read {
     /// Served by the read on its way.
-    flying: Vec<Then>,
+    in_flight: Vec<Then>,
     /// Came in after it began; need the next.
     next: Vec<Then>,
 }
 
 #[derive(Debug, Default)]
-pub struct Door {
+pub struct UserApi {
     reads: HashMap<String, Read>,
     checks: HashMap<u64, Check>,
     next_check: u64,
@@ -85,85 +85,85 @@
     next_sweep: u64,
 }
 
-impl Door {
-    pub fn poll(&mut self, sh: &mut Shared) {
-        if sh.now >= self.next_sweep {
-            self.next_sweep = sh.now + 10_000;
-            sh.forget_specs();
+impl UserApi {
+    pub fn poll(&mut self, shared: &mut Shared) {
+        if shared.now >= self.next_sweep {
+            self.next_sweep = shared.now + 10_000;
+            shared.forget_specs();
         }
     }
 
-    pub fn submit(&mut self, sh: &mut Shared, req: u64, body: &[u8]) {
+    pub fn submit(&mut self, shared: &mut Shared, req: u64, body: &[u8]) {
         let Submission { id, spec, awaits } = match parse_job(body) {
             Ok(x) => x,
             Err(e) => {
                 let why = format!("{} {}", e.field, e.why);
                 // An accepted job stays so, whatever is said of it later.
                 let Some(id) = id_of(body) else {
-                    return sh.refuse(req, 400, &why, Some(e.field));
+                    return shared.refuse(req, 400, &why, Some(e.field));
                 };
-                if !sh.synced {
-                    return sh.busy(req, "not yet in touch with the state service");
+                if !shared.synced {
+                    return shared.busy(req, "not yet in touch with the state service");
                 }
-                if let Some(state) = sh.job_ix(&id).map(|ix| sh.job(ix).state)
+                if let Some(state) = shared.job_ix(&id).map(|ix| shared.job(ix).state)
                     && state != JobState::Live
                 {
-                    return answer_state(sh, req, 200, &id, state);
+                    return answer_state(shared, req, 200, &id, state);
                 }
                 let no = Refusal { status: 400, why, field: Some(e.field) };
-                return self.read(sh, id, Then::Refuse(req, no));
+                return self.read(shared, id, Then::Refuse(req, no));
             }
         };
         // An accepted job stays accepted, whatever a later body says and
         // whatever has become of the limits.
-        if let Some(ix) = sh.job_ix(&id) {
-            let state = sh.job(ix).state;
+        if let Some(ix) = shared.job_ix(&id) {
+            let state = shared.job(ix).state;
             if state != JobState::Live {
-                return answer_state(sh, req, 200, &id, state);
+                return answer_state(shared, req, 200, &id, state);
             }
-            return self.read(sh, id, Then::Resubmit(req));
+            return self.read(shared, id, Then::Resubmit(req));
         }
-        if !sh.synced {
-            return sh.busy(req, "not yet in touch with the state service");
+        if !shared.synced {
+            return shared.busy(req, "not yet in touch with the state service");
         }
-        if sh.types.is_empty() {
-            return sh.busy(req, "machine types are not known yet");
+        if shared.types.is_empty() {
+            return shared.busy(req, "machine types are not known yet");
         }
-        let awaits = match check_new(sh, &id, &spec, awaits) {
+        let awaits = match check_new(shared, &id, &spec, awaits) {
             Ok(awaits) => awaits,
             // It may have been accepted elsewhere a moment ago; only the state
             // service knows.
-            Err(no) => return self.read(sh, id, Then::Refuse(req, no)),
+            Err(no) => return self.read(shared, id, Then::Refuse(req, no)),
         };
-        if !awaits.is_empty() && !sh.has_authority() {
-            return sh.busy(req, "not in touch with the state service");
+        if !awaits.is_empty() && !shared.has_authority() {
+            return shared.busy(req, "not in touch with the state service");
         }
-        self.check_awaited(sh, Check { req, id, spec, awaits });
+        self.check_awaited(shared, Check { req, id, spec, awaits });
     }
 
     /// Looks up the next awaited job that is not known yet. That one is unknown
     /// is said only on a read begun after the request: the watch lags.
-    fn check_awaited(&mut self, sh: &mut Shared, check: Check) {
-        match check.awaits.iter().find(|id| sh.job_ix(id).is_none()).cloned() {
-            None => self.create(sh, check),
+    fn check_awaited(&mut self, shared: &mut Shared, check: Check) {
+        match check.awaits.iter().find(|id| shared.job_ix(id).is_none()).cloned() {
+            None => self.create(shared, check),
             Some(unknown) => {
                 self.next_check += 1;
                 self.checks.insert(self.next_check, check);
-                self.read(sh, unknown, Then::Awaited(self.next_check));
+                self.read(shared, unknown, Then::Awaited(self.next_check));
             }
         }
     }
 
-    fn create(&mut self, sh: &mut Shared, check: Check) {
+    fn create(&mut self, shared: &mut Shared, check: Check) {
         let Check { req, id, mut spec, awaits } = check;
         if self.waiting >= MAX_WAITING {
-            return sh.busy(req, "too many requests at once");
+            return shared.busy(req, "too many requests at once");
         }
-        spec.at_ms = sh.wall;
+        spec.at_ms = shared.wall;
         // Accepted all the same, but called live by no one at any time: its
         // user may have been told of that cancellation long ago.
-        let withdrawn = awaits.iter().filter_map(|a| sh.job_ix(a)).any(|ix| {
-            let job = sh.job(ix);
+        let withdrawn = awaits.iter().filter_map(|a| shared.job_ix(a)).any(|ix| {
+            let job = shared.job(ix);
             job.state == JobState::Cancelled || job.links.doomed
         });
         let rec =
@@ -176,44 +176,44 @@
             changes: vec![Change::Put { key, value, lease: None }],
         };
         self.waiting += 1;
-        sh.state_call(Purpose::Door(DoorCall::Submit { req, id, state }), StateOp::Txn(txn));
+        shared.state_call(Purpose::UserApi(UserApiCall::Submit { req, id, state }), StateOp::Txn(txn));
     }
 
-    pub fn status(&mut self, sh: &mut Shared, req: u64, id: &str) {
+    pub fn status(&mut self, shared: &mut Shared, req: u64, id: &str) {
         if !valid_id(id) {
-            return sh.refuse(req, 404, "no such job", None);
+            return shared.refuse(req, 404, "no such job", None);
         }
-        if let Some(ix) = sh.job_ix(id) {
-            let state = sh.job(ix).state;
+        if let Some(ix) = shared.job_ix(id) {
+            let state = shared.job(ix).state;
             if state != JobState::Live {
-                return answer_state(sh, req, 200, id, state);
+                return answer_state(shared, req, 200, id, state);
             }
         }
-        self.read(sh, id.to_string(), Then::Status(req));
+        self.read(shared, id.to_string(), Then::Status(req));
     }
 
-    pub fn cancel(&mut self, sh: &mut Shared, req: u64, id: &str) {
+    pub fn cancel(&mut self, shared: &mut Shared, req: u64, id: &str) {
         if !valid_id(id) {
-            return sh.refuse(req, 404, "no such job", None);
+            return shared.refuse(req, 404, "no such job", None);
         }
-        if let Some(ix) = sh.job_ix(id) {
-            let (state, stamp) = (sh.job(ix).state, sh.job(ix).version);
+        if let Some(ix) = shared.job_ix(id) {
+            let (state, version) = (shared.job(ix).state, shared.job(ix).version);
             if state != JobState::Live {
-                return answer_state(sh, req, 200, id, state);
+                return answer_state(shared, req, 200, id, state);
             }
-            return self.write_cancel(sh, req, id.to_string(), stamp, 0);
+            return self.write_cancel(shared, req, id.to_string(), version, 0);
         }
-        self.read(sh, id.to_string(), Then::Cancel { req, tries: 0 });
+        self.read(shared, id.to_string(), Then::Cancel { req, tries: 0 });
     }
 
-    fn write_cancel(&mut self, sh: &mut Shared, req: u64, id: String, stamp: u64, tries: u32) {
+    fn write_cancel(&mut self, shared: &mut Shared, req: u64, id: String, version: u64, tries: u32) {
         if tries >= CANCEL_TRIES || self.waiting >= MAX_WAITING {
-            return sh.busy(req, "cancellation not settled yet");
+            return shared.busy(req, "cancellation not settled yet");
         }
         let key = job_key(&id);
-        let tasks = sh.job_ix(&id).map_or(0, |ix| sh.job(ix).tasks);
+        let tasks = shared.job_ix(&id).map_or(0, |ix| shared.job(ix).tasks);
         let txn = Txn {
-            conds: vec![Cond { key: key.clone(), version: stamp }],
+            conds: vec![Cond { key: key.clone(), version }],
             changes: vec![Change::Put {
                 key,
                 value: Encoded::new(&JobRecord::cancelled(tasks)),
@@ -221,25 +221,26 @@
             }],
         };
         self.waiting += 1;
-        sh.state_call(Purpose::Door(DoorCall::Cancel { req, id, tries }), StateOp::Txn(txn));
+        shared.state_call(Purpose::UserApi(UserApiCall::Cancel { req, id, tries }), StateOp::Txn(txn));
     }
 
     /// Answers for a job read as live, unless it has to be withdrawn first.
-    fn answer_live(&mut self, sh: &mut Shared, req: u64, id: &str) {
-        let Some(ix) = sh.job_ix(id) else { return sh.busy(req, "not known yet") };
-        let (links, stamp, tasks) = (&sh.job(ix).links, sh.job(ix).version, sh.job(ix).tasks);
-        if links.open > 0 && !sh.has_authority() {
-            return sh.busy(req, "not in touch with the state service");
+    fn answer_live(&mut self, shared: &mut Shared, req: u64, id: &str) {
+        let Some(ix) = shared.job_ix(id) else { return shared.busy(req, "not known yet") };
+        let (links, version, tasks) =
+            (&shared.job(ix).links, shared.job(ix).version, shared.job(ix).tasks);
+        if links.open > 0 && !shared.has_authority() {
+            return shared.busy(req, "not in touch with the state service");
         }
         // One before it may have been withdrawn long ago and not be in memory.
-        if links.open > 0 && !sh.jobs.unread().is_empty() {
-            return sh.busy(req, "what it awaits is not known yet");
+        if links.open > 0 && !shared.jobs.unread().is_empty() {
+            return shared.busy(req, "what it awaits is not known yet");
         }
         if !links.doomed {
-            return answer_state(sh, req, 200, id, JobState::Live);
+            return answer_state(shared, req, 200, id, JobState::Live);
         }
         if self.waiting >= MAX_WAITING {
-            return sh.busy(req, "too many requests at once");
+            return shared.busy(req, "too many requests at once");
         }
         self.waiting += 1;
         let waiters = self.withdrawals.entry(id.to_string()).or_default();
@@ -250,32 +251,32 @@
         let key = job_key(id);
         let value = Encoded::new(&JobRecord::cancelled(tasks));
         let txn = Txn {
-            conds: vec![Cond { key: key.clone(), version: stamp }],
+            conds: vec![Cond { key: key.clone(), version }],
             changes: vec![Change::Put { key, value, lease: None }],
         };
-        let call = DoorCall::Cascade { id: id.to_string() };
-        sh.state_call(Purpose::Door(call), StateOp::Txn(txn));
+        let call = UserApiCall::Cascade { id: id.to_string() };
+        shared.state_call(Purpose::UserApi(call), StateOp::Txn(txn));
     }
 
-    fn on_cascaded(&mut self, sh: &mut Shared, id: String, result: StateResult) {
+    fn on_cascaded(&mut self, shared: &mut Shared, id: String, result: StateResult) {
         let waiters = self.withdrawals.remove(&id).unwrap_or_default();
         self.waiting = self.waiting.saturating_sub(waiters.len());
         if let StateResult::Done { revision } = result {
-            sh.put_job(&id, JobRecord::cancelled(0), revision, RecordSource::Single);
-            sh.cancelled_here.push(id.clone());
+            shared.put_job(&id, JobRecord::cancelled(0), revision, RecordSource::Single);
+            shared.cancelled_here.push(id.clone());
         }
         for req in waiters {
             match result {
-                StateResult::Done { .. } => answer_state(sh, req, 200, &id, JobState::Cancelled),
+                StateResult::Done { .. } => answer_state(shared, req, 200, &id, JobState::Cancelled),
                 StateResult::Failed(_) | StateResult::Unknown => {
-                    self.read(sh, id.clone(), Then::Status(req));
+                    self.read(shared, id.clone(), Then::Status(req));
                 }
-                _ => sh.busy(req, "the state service does not take it now"),
+                _ => shared.busy(req, "the state service does not take it now"),
             }
         }
     }
 
-    fn read(&mut self, sh: &mut Shared, id: String, then: Then) {
+    fn read(&mut self, shared: &mut Shared, id: String, then: Then) {
         if self.waiting >= MAX_WAITING {
             let req = match then {
                 Then::Status(req) | Then::Resubmit(req) | Then::Refuse(req, _) => req,
@@ -285,98 +286,104 @@
                     None => return,
                 },
             };
-            return sh.busy(req, "too many requests at once");
+            return shared.busy(req, "too many requests at once");
         }
         self.waiting += 1;
         let read = self.reads.entry(id.clone()).or_default();
-        if read.flying.is_empty() {
-            read.flying.push(then);
-            sh.state_call(Purpose::Door(DoorCall::Read { id: id.clone() }), StateOp::Get(job_key(&id)));
+        if read.in_flight.is_empty() {
+            read.in_flight.push(then);
+            shared.state_call(
+                Purpose::UserApi(UserApiCall::Read { id: id.clone() }),
+                StateOp::Get(job_key(&id)),
+            );
         } else {
             read.next.push(then);
         }
     }
 
-    pub fn on_result(&mut self, sh: &mut Shared, call: DoorCall, result: StateResult) {
+    pub fn on_result(&mut self, shared: &mut Shared, call: UserApiCall, result: StateResult) {
         match call {
-            DoorCall::Cascade { id } => self.on_cascaded(sh, id, result),
-            DoorCall::Submit { req, id, state } => {
+            UserApiCall::Cascade { id } => self.on_cascaded(shared, id, result),
+            UserApiCall::Submit { req, id, state } => {
                 self.waiting -= 1;
                 match result {
-                    StateResult::Done { .. } => answer_state(sh, req, 201, &id, state),
+                    StateResult::Done { .. } => answer_state(shared, req, 201, &id, state),
                     StateResult::Failed(_) | StateResult::Unknown => {
-                        self.read(sh, id, Then::Resubmit(req));
+                        self.read(shared, id, Then::Resubmit(req));
                     }
-                    _ => sh.busy(req, "the state service does not take it now"),
+                    _ => shared.busy(req, "the state service does not take it now"),
                 }
             }
-            DoorCall::Cancel { req, id, tries } => {
+            UserApiCall::Cancel { req, id, tries } => {
                 self.waiting -= 1;
                 match result {
                     StateResult::Done { revision } => {
-                        sh.put_job(&id, JobRecord::cancelled(0), revision, RecordSource::Single);
-                        sh.cancelled_here.push(id.clone());
-                        answer_state(sh, req, 200, &id, JobState::Cancelled);
+                        shared.put_job(&id, JobRecord::cancelled(0), revision, RecordSource::Single);
+                        shared.cancelled_here.push(id.clone());
+                        answer_state(shared, req, 200, &id, JobState::Cancelled);
                     }
                     StateResult::Failed(_) | StateResult::Unknown => {
-                        self.read(sh, id, Then::Cancel { req, tries: tries + 1 });
+                        self.read(shared, id, Then::Cancel { req, tries: tries + 1 });
                     }
-                    _ => sh.busy(req, "the state service does not take it now"),
+                    _ => shared.busy(req, "the state service does not take it now"),
                 }
             }
-            DoorCall::Read { id } => self.on_read(sh, id, result),
+            UserApiCall::Read { id } => self.on_read(shared, id, result),
         }
     }
 
-    fn on_read(&mut self, sh: &mut Shared, id: String, result: StateResult) {
+    fn on_read(&mut self, shared: &mut Shared, id: String, result: StateResult) {
         let Some(mut read) = self.reads.remove(&id) else { return };
-        let waiters = std::mem::take(&mut read.flying);
+        let waiters = std::mem::take(&mut read.in_flight);
         self.waiting = self.waiting.saturating_sub(waiters.len());
         let found = match &result {
             StateResult::Item(i) => i.value.decode::<JobRecord>().ok().map(|r| (r.state, i.version, r)),
             _ => None,
         };
         // A record that is out of date by now is no answer; the user asks again.
-        let found = found.and_then(|(state, stamp, rec)| {
-            sh.put_job(&id, rec, stamp, RecordSource::Single).then_some((state, stamp))
+        let found = found.and_then(|(state, version, rec)| {
+            shared.put_job(&id, rec, version, RecordSource::Single).then_some((state, version))
         });
         // Another read of it may begin from here on.
         let next = std::mem::take(&mut read.next);
         if !next.is_empty() {
-            read.flying = next;
-            sh.state_call(Purpose::Door(DoorCall::Read { id: id.clone() }), StateOp::Get(job_key(&id)));
+            read.in_flight = next;
+            shared.state_call(
+                Purpose::UserApi(UserApiCall::Read { id: id.clone() }),
+                StateOp::Get(job_key(&id)),
+            );
             self.reads.insert(id.clone(), read);
         }
         for w in waiters {
             match (w, found, &result) {
                 (Then::Status(req) | Then::Resubmit(req) | Then::Refuse(req, _), Some(f), _) => {
                     if f.0 == JobState::Live {
-                        self.answer_live(sh, req, &id);
+                        self.answer_live(shared, req, &id);
                     } else {
-                        answer_state(sh, req, 200, &id, f.0);
+                        answer_state(shared, req, 200, &id, f.0);
                     }
                 }
-                (Then::Cancel { req, tries }, Some((JobState::Live, stamp)), _) => {
-                    self.write_cancel(sh, req, id.clone(), stamp, tries);
+                (Then::Cancel { req, tries }, Some((JobState::Live, version)), _) => {
+                    self.write_cancel(shared, req, id.clone(), version, tries);
                 }
                 (Then::Cancel { req, .. }, Some((state, _)), _) => {
-                    answer_state(sh, req, 200, &id, state);
+                    answer_state(shared, req, 200, &id, state);
                 }
                 (Then::Awaited(n), found, _) => {
                     let Some(check) = self.checks.remove(&n) else { continue };
-                    self.on_awaited(sh, check, &id, found.is_some(), &result);
+                    self.on_awaited(shared, check, &id, found.is_some(), &result);
                 }
                 (Then::Refuse(req, no), None, StateResult::Missing) => {
                     tracing::debug!(id, why = no.why, "submission refused");
-                    sh.refuse(req, no.status, &no.why, no.field);
+                    shared.refuse(req, no.status, &no.why, no.field);
                 }
                 (Then::Status(req) | Then::Cancel { req, .. }, None, StateResult::Missing) => {
-                    sh.refuse(req, 404, "no such job", None);
+                    shared.refuse(req, 404, "no such job", None);
                 }
                 // A submission whose write got lost is best tried again.
                 (Then::Status(req) | Then::Resubmit(req) | Then::Refuse(req, _), None, _)
                 | (Then::Cancel { req, .. }, None, _) => {
-                    sh.busy(req, "the state service does not answer now");
+                    shared.busy(req, "the state service does not answer now");
                 }
             }
         }
@@ -384,29 +391,29 @@
 
     fn on_awaited(
         &mut self,
-        sh: &mut Shared,
+        shared: &mut Shared,
         check: Check,
         awaited: &str,
         found: bool,
         result: &StateResult,
     ) {
         match result {
-            _ if found => self.check_awaited(sh, check),
+            _ if found => self.check_awaited(shared, check),
             StateResult::Missing => {
                 let why = format!("awaits {awaited}, which was never accepted");
                 let no = Refusal { status: 422, why, field: Some("awaits") };
-                self.read(sh, check.id, Then::Refuse(check.req, no));
+                self.read(shared, check.id, Then::Refuse(check.req, no));
             }
-            _ => sh.busy(check.req, "the state service does not answer now"),
+            _ => shared.busy(check.req, "the state service does not answer now"),
         }
     }
 }
 
-fn answer_state(sh: &mut Shared, req: u64, status: u16, id: &str, state: JobState) {
-    let (done, running) = sh.counts.get(id).copied().unwrap_or((0, 0));
-    let tasks = sh.job_ix(id).map(|ix| sh.job(ix).tasks);
+fn answer_state(shared: &mut Shared, req: u64, status: u16, id: &str, state: JobState) {
+    let (done, running) = shared.counts.get(id).copied().unwrap_or((0, 0));
+    let tasks = shared.job_ix(id).map(|ix| shared.job(ix).tasks);
     // Its end may have become known while the answer was under way.
-    let state = match sh.job_ix(id).map(|ix| sh.job(ix).state) {
+    let state = match shared.job_ix(id).map(|ix| shared.job(ix).state) {
         Some(known) if state == JobState::Live => known,
         _ => state,
     };
@@ -416,13 +423,13 @@
         JobState::Done => ("done", tasks, Some(0)),
         JobState::Cancelled => ("withdrawn", Some(done), Some(0)),
     };
-    sh.answer_json(req, status, &StatusBody { id, state, done, running });
+    shared.answer_json(req, status, &StatusBody { id, state, done, running });
 }
 
 /// Whether a submission that is not known can be accepted: what it awaits, or
 /// why not.
 fn check_new(
-    sh: &Shared,
+    shared: &Shared,
     id: &str,
     spec: &Spec,
     awaits: Result<Vec<String>, Invalid>,
@@ -437,7 +444,7 @@
         // The time of acceptance is yet to come.
         value.len() + 16
     };
-    let most = sh.cfg.cluster.state.value_bytes();
+    let most = shared.cfg.cluster.state.value_bytes();
     if size(&awaits) > most {
         let body = size(&[]) > most;
         let field = if body { "body" } else { "awaits" };
@@ -446,22 +453,22 @@
     if awaits.iter().any(|a| a == id) {
         return no(422, "awaits the job itself".into(), Some("awaits"));
     }
-    if let Err(why) = can_run(sh, spec) {
+    if let Err(why) = can_run(shared, spec) {
         return no(422, why, None);
     }
     Ok(awaits)
 }
 
 /// Whether the job could ever run; if not, why.
-fn can_run(sh: &Shared, spec: &Spec) -> Result<(), String> {
-    let Some(team) = sh.cfg.cluster.teams.iter().find(|t| t.name == spec.team) else {
+fn can_run(shared: &Shared, spec: &Spec) -> Result<(), String> {
+    let Some(team) = shared.cfg.cluster.teams.iter().find(|t| t.name == spec.team) else {
         return Err(format!("unknown team {}", spec.team));
     };
     if spec.cpus > team.cpus_max || spec.gpus > team.gpus_max {
         return Err("a task needs more than the team's limit".into());
     }
     let need = spec.need();
-    let fits = sh.types.iter().any(|t| {
+    let fits = shared.types.iter().any(|t| {
         spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
             && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
             && need.fits(&t.room)
--- a/src/core/dialogue.rs
+++ b/src/core/worker_heartbeats.rs
@@ -2,7 +2,7 @@
 //! what they are told in answer.
 
 use super::Output;
-use super::holder::{Attempt, Held, Holder, Load, Machine, St};
+use super::holder::{Attempt, AttemptState, Held, Holder, Load, Machine};
 use super::model::{Ms, split_task};
 use super::shared::Shared;
 use crate::wire::state::JobState;
@@ -23,25 +23,25 @@
 const HOLD_BUSY_MS: std::ops::RangeInclusive<Ms> = 500..=1_500;
 
 impl Holder {
-    pub fn checkin(&mut self, sh: &mut Shared, req: u64, r: Report) {
-        let Some(b) = sh.block_of(&r.zone, &r.machine) else {
-            return sh.refuse(req, 400, "unknown zone", Some("yard"));
+    pub fn checkin(&mut self, shared: &mut Shared, req: u64, r: Report) {
+        let Some(b) = shared.block_of(&r.zone, &r.machine) else {
+            return shared.refuse(req, 400, "unknown zone", Some("yard"));
         };
-        if !sh.synced {
-            return sh.busy(req, "not yet in touch with the state service");
+        if !shared.synced {
+            return shared.busy(req, "not yet in touch with the state service");
         }
         let holds = self.blocks[b as usize].as_ref().map(|h| (h.grant, h.load));
-        let Some((grant, load)) = holds else { return redirect(sh, req, b) };
-        if !sh.has_authority() {
-            return sh.busy(req, "no proof of authority");
+        let Some((grant, load)) = holds else { return redirect(shared, req, b) };
+        if !shared.has_authority() {
+            return shared.busy(req, "no proof of authority");
         }
         // The worker has seen a token above ours: someone holds the block
         // after us, and the watch will tell who. Never guess.
         if r.token > grant {
-            return sh.busy(req, "a newer holder exists");
+            return shared.busy(req, "a newer holder exists");
         }
         if self.gone.contains(&r.machine) {
-            return sh.busy(req, "this machine has been returned");
+            return shared.busy(req, "this machine has been returned");
         }
         let blank = || Self::blank(&r.machine, b, grant);
         let (ix, m) = self.machines.get_or_insert_with(&r.machine, blank);
@@ -53,14 +53,14 @@
         let mut reborn = false;
         if (r.session, r.seq) <= (m.session, m.seq) {
             if !m.dead {
-                return sh.busy(req, "a newer report is known");
+                return shared.busy(req, "a newer report is known");
             }
             // Its lease is over and with it all that it had, so a count that
             // starts anew is a worker that did. But it may be a late copy too.
             reborn = true;
             (m.session, m.seq, m.answered) = (0, 0, None);
         }
-        if !m.heeds(&r, sh.cfg.peers.len()) {
+        if !m.heeds(&r, shared.cfg.peers.len()) {
             m.unheeded += 1;
             m.deaf |= m.unheeded >= 2;
         } else if m.answered.is_some() {
@@ -69,8 +69,8 @@
         // A run in the answer to a session's last report, as its lease ends, would be
         // given up with the first report of the next one, and granted elsewhere
         // within the same second.
-        let lease = (sh.cfg.cluster.workers.lease_s * 1000.0) as Ms;
-        if m.last_answer.is_some_and(|at| sh.now > at + lease / 2) {
+        let lease = (shared.cfg.cluster.workers.lease_s * 1000.0) as Ms;
+        if m.last_answer.is_some_and(|at| shared.now > at + lease / 2) {
             m.resuming = r.session <= m.session;
         } else if m.answered.is_some() {
             m.resuming = false;
@@ -83,7 +83,7 @@
         m.session = r.session;
         m.seq = r.seq;
         m.notice = r.notice_s.is_some();
-        m.last_report = Some(sh.now);
+        m.last_report = Some(shared.now);
         m.fenced = !reborn && (m.fenced || r.token >= grant);
         m.reborn = reborn || m.reborn && !m.fenced;
         m.direct_sent = 0;
@@ -91,69 +91,71 @@
         let stale = m.held.take();
         let mut commands = Vec::new();
         if load == Load::Done {
-            let gone = read_tasks(sh, m, &r.tasks, &mut commands);
+            let gone = read_tasks(shared, m, &r.tasks, &mut commands);
             if let Some(h) = &mut self.blocks[b as usize] {
-                h.give_up(gone, sh.now);
+                h.give_up(gone, shared.now);
             }
         }
-        let hold = if load == Load::Done && commands.is_empty() { hold_ms(sh, m) } else { 0 };
-        m.held = Some(Held { req, until: sh.now + hold, commands });
+        let hold = if load == Load::Done && commands.is_empty() { hold_ms(shared, m) } else { 0 };
+        m.held = Some(Held { req, until: shared.now + hold, commands });
         if let Some(h) = &mut self.blocks[b as usize] {
             h.dirty = true;
         }
         if let Some(old) = stale {
-            sh.busy(old.req, "a newer report is known");
+            shared.busy(old.req, "a newer report is known");
         }
         if hold == 0 {
-            self.answer_held(sh, ix);
+            self.answer_held(shared, ix);
         }
     }
 
     /// Answers the report that a machine waits with. What is ordered is
     /// decided now, on what is known now.
-    fn answer_held(&mut self, sh: &mut Shared, ix: u32) {
+    fn answer_held(&mut self, shared: &mut Shared, ix: u32) {
         let Some(m) = self.machines.get_mut(ix) else { return };
         let Some(held) = m.held.take() else { return };
         let holds = self.blocks[m.block as usize].as_ref().is_some_and(|h| h.grant == m.grant);
-        if !holds || !sh.has_authority() {
-            return sh.busy(held.req, "no proof of authority");
+        if !holds || !shared.has_authority() {
+            return shared.busy(held.req, "no proof of authority");
         }
         let mut commands = held.commands;
-        orders(sh, m, &mut commands);
-        m.last_answer = Some(sh.now);
+        orders(shared, m, &mut commands);
+        m.last_answer = Some(shared.now);
         m.answered = Some((m.session, m.seq));
-        sh.answer_json(held.req, 200, &ReportAnswer { token: m.grant, commands });
+        shared.answer_json(held.req, 200, &ReportAnswer { token: m.grant, commands });
     }
 
     /// Held reports are answered at the moment that work appears for their
     /// machine, or when their time is over.
-    pub(super) fn answer_due(&mut self, sh: &mut Shared) {
+    pub(super) fn answer_due(&mut self, shared: &mut Shared) {
         let due = |m: &Machine| {
             let Some(held) = &m.held else { return false };
             let has_work = |a: &Attempt| match a.st {
-                St::Bound => a.written && a.want && a.sent.is_none() && !sh.is_cancelled(a.job),
-                St::Fetching | St::Running => !a.want || sh.is_cancelled(a.job),
+                AttemptState::Bound => {
+                    a.written && a.want && a.sent.is_none() && !shared.is_cancelled(a.job)
+                }
+                AttemptState::Fetching | AttemptState::Running => !a.want || shared.is_cancelled(a.job),
                 _ => false,
             };
-            sh.now >= held.until || m.attempts.iter().any(has_work)
+            shared.now >= held.until || m.attempts.iter().any(has_work)
         };
         let due: Vec<u32> = self.machines.iter().filter(|(_, m)| due(m)).map(|(ix, _)| ix).collect();
         for ix in due {
-            self.answer_held(sh, ix);
+            self.answer_held(shared, ix);
         }
     }
 
     /// Tasks of a job that is cancelled are stopped by direct command, where no
     /// report waits for an answer: one that still waits for its image would start
     /// before the next report, and machines whose reports reach nobody would go on.
-    pub(super) fn stop_cancelled(&mut self, sh: &mut Shared) {
-        if sh.cancelled_now.is_empty() {
+    pub(super) fn stop_cancelled(&mut self, shared: &mut Shared) {
+        if shared.cancelled_now.is_empty() {
             return;
         }
-        let jobs: FxHashSet<u32> = std::mem::take(&mut sh.cancelled_now).into_iter().collect();
+        let jobs: FxHashSet<u32> = std::mem::take(&mut shared.cancelled_now).into_iter().collect();
         for m in self.machines.values_mut() {
             if m.held.is_none() && m.attempts.iter().any(|a| jobs.contains(&a.job)) {
-                stop_directly(sh, m);
+                stop_directly(shared, m);
             }
         }
         // Reports that wait are answered without delay.
@@ -161,21 +163,21 @@
     }
 
     /// Again where nothing has been heard of it.
-    pub(super) fn repeat_stops(&mut self, sh: &mut Shared) {
-        let now = sh.now;
+    pub(super) fn repeat_stops(&mut self, shared: &mut Shared) {
+        let now = shared.now;
         for m in self.machines.values_mut() {
             if (1..MOST_DIRECT).contains(&m.direct_sent)
                 && m.held.is_none()
                 && now >= m.direct_at + DIRECT_MS
             {
-                stop_directly(sh, m);
+                stop_directly(shared, m);
             }
         }
     }
 
     /// Machines whose lease has surely ended hold nothing any more.
-    pub(super) fn check_leases(&mut self, sh: &mut Shared) {
-        let lease = (sh.cfg.cluster.workers.lease_s * 1001.0) as Ms + 1500;
+    pub(super) fn check_leases(&mut self, shared: &mut Shared) {
+        let lease = (shared.cfg.cluster.workers.lease_s * 1001.0) as Ms + 1500;
         for m in self.machines.values_mut() {
             let Some(h) = &mut self.blocks[m.block as usize] else { continue };
             // A report that waits for its answer is no silence: the first one
@@ -187,9 +189,10 @@
             // Until the worker has shown our token, a former holder may have
             // answered it up to the end of its own authority.
             // It may have learned the token from a direct command, unanswered yet.
-            let before = if m.fenced && m.last_answer.is_some() { 0 } else { h.since + sh.authority_ms };
+            let before =
+                if m.fenced && m.last_answer.is_some() { 0 } else { h.since + shared.authority_ms };
             let last = m.last_answer.unwrap_or(0).max(before);
-            if sh.now <= last + lease {
+            if shared.now <= last + lease {
                 continue;
             }
             m.dead = true;
@@ -197,46 +200,49 @@
             if m.attempts.iter().any(|a| !a.st.ended()) {
                 tracing::info!(machine = m.name, "lease ended; its tasks are gone");
             }
-            let gone = m.attempts.extract_if(.., |a| a.st != St::Done || !a.want);
-            h.give_up(gone.map(|a| (a.id, a.shelf)), sh.now);
+            let gone = m.attempts.extract_if(.., |a| a.st != AttemptState::Done || !a.want);
+            h.give_up(gone.map(|a| (a.id, a.shelf)), shared.now);
             h.dirty = true;
         }
     }
 }
 
 /// Never a `run`, which could be carried out minutes late.
-fn stop_directly(sh: &mut Shared, m: &mut Machine) {
+fn stop_directly(shared: &mut Shared, m: &mut Machine) {
     let on_it = |a: &&Attempt| match a.st {
-        St::Inherited | St::Fetching | St::Running | St::Saving => true,
-        St::Bound => a.sent.is_some(),
+        AttemptState::Inherited
+        | AttemptState::Fetching
+        | AttemptState::Running
+        | AttemptState::Saving => true,
+        AttemptState::Bound => a.sent.is_some(),
         _ => false,
     };
     let stop = |a: &Attempt| Command {
         op: Op::Stop,
-        task: format!("{}/{}", sh.jobs.id(a.job), a.task),
+        task: format!("{}/{}", shared.jobs.id(a.job), a.task),
         attempt: a.id,
         grace_s: Some(0.0),
     };
-    let due = m.attempts.iter().filter(on_it).filter(|a| sh.is_cancelled(a.job));
+    let due = m.attempts.iter().filter(on_it).filter(|a| shared.is_cancelled(a.job));
     let commands: Vec<Command> = due.map(stop).collect();
     if commands.is_empty() || m.addr.is_empty() || m.dead {
         return;
     }
-    m.direct_at = sh.now;
+    m.direct_at = shared.now;
     m.direct_sent += 1;
     let direct = DirectCommands { token: m.grant, session: m.session, commands };
-    sh.out.push(Output::Direct { addr: m.addr.clone(), commands: direct });
+    shared.out.push(Output::Direct { addr: m.addr.clone(), commands: direct });
 }
 
 /// How long a report may wait for work. A machine with room gets new work the
 /// sooner; one with tasks also has their ends to tell, so it waits less. The
 /// worker gives up after 4 s.
-fn hold_ms(sh: &Shared, m: &Machine) -> Ms {
-    if !m.takes_tasks(sh) {
+fn hold_ms(shared: &Shared, m: &Machine) -> Ms {
+    if !m.takes_tasks(shared) {
         return 0;
     }
-    let Some(t) = sh.type_ix(&m.type_name).map(|t| &sh.types[t]) else { return 0 };
-    let ready = m.attempts.iter().any(|a| a.st == St::Bound && a.written && a.want);
+    let Some(t) = shared.type_ix(&m.type_name).map(|t| &shared.types[t]) else { return 0 };
+    let ready = m.attempts.iter().any(|a| a.st == AttemptState::Bound && a.written && a.want);
     let ended = m.attempts.iter().any(|a| a.st.ended() && !a.want);
     if ready || ended {
         return 0;
@@ -244,36 +250,36 @@
     if m.attempts.is_empty() {
         HOLD_IDLE_MS
     } else if m.used().share_of(&t.room) < 0.95 {
-        let share = sh.cfg.cluster.workers.report_s * 1000.0 * HOLD_BUSY_SHARE;
+        let share = shared.cfg.cluster.workers.report_s * 1000.0 * HOLD_BUSY_SHARE;
         (share as Ms).clamp(*HOLD_BUSY_MS.start(), *HOLD_BUSY_MS.end())
     } else {
         0
     }
 }
 
-fn redirect(sh: &mut Shared, req: u64, block: u32) {
-    let holder = sh.block_recs[block as usize].as_ref().map(|(r, _)| r.node.clone());
+fn redirect(shared: &mut Shared, req: u64, block: u32) {
+    let holder = shared.block_recs[block as usize].as_ref().map(|(r, _)| r.node.clone());
     match holder {
-        Some(node) if node != sh.me => {
-            sh.answer_json(req, 421, &Redirect { report_to: Some(node) });
+        Some(node) if node != shared.me => {
+            shared.answer_json(req, 421, &Redirect { report_to: Some(node) });
         }
-        _ => sh.busy(req, "nobody holds this machine's block yet"),
+        _ => shared.busy(req, "nobody holds this machine's block yet"),
     }
 }
 
 /// Takes in what a report says of the machine's tasks, and what it proves by
 /// not saying it. The attempts that are gone, with their shelves.
 fn read_tasks(
-    sh: &mut Shared,
+    shared: &mut Shared,
     m: &mut Machine,
     tasks: &[ReportTask],
     commands: &mut Vec<Command>,
 ) -> Vec<(u64, u32)> {
-    let now = sh.now;
+    let now = shared.now;
     let mut listed: FxHashSet<u64> = FxHashSet::default();
     for t in tasks {
         let found = split_task(&t.task).and_then(|(job, task)| {
-            let job = sh.job_ix(job)?;
+            let job = shared.job_ix(job)?;
             m.attempts.iter_mut().find(|a| a.id == t.attempt && a.job == job && a.task == task)
         });
         let Some(a) = found else {
@@ -286,17 +292,17 @@
         listed.insert(a.id);
         a.seen = true;
         let st = match t.state {
-            TaskState::Fetching => St::Fetching,
-            TaskState::Running | TaskState::Other => St::Running,
-            TaskState::Saving => St::Saving,
+            TaskState::Fetching => AttemptState::Fetching,
+            TaskState::Running | TaskState::Other => AttemptState::Running,
+            TaskState::Saving => AttemptState::Saving,
             TaskState::Exited => match t.why.as_deref() {
-                Some("done") => St::Done,
-                Some("error") => St::Failed,
-                Some("halted") => St::Stopped,
-                _ => St::Refused,
+                Some("done") => AttemptState::Done,
+                Some("error") => AttemptState::Failed,
+                Some("halted") => AttemptState::Stopped,
+                _ => AttemptState::Refused,
             },
         };
-        if st == St::Running && a.started.is_none() {
+        if st == AttemptState::Running && a.started.is_none() {
             a.started = Some(now);
         }
         if st.ended()
@@ -309,7 +315,7 @@
     }
     let fenced = m.fenced;
     let newest = (m.session, m.seq);
-    let lost = |a: &Attempt| a.st == St::Bound && a.sent.is_some_and(|s| s < newest);
+    let lost = |a: &Attempt| a.st == AttemptState::Bound && a.sent.is_some_and(|s| s < newest);
     if m.attempts.iter().any(|a| lost(a) && !listed.contains(&a.id)) {
         m.deaf = true;
         tracing::info!(machine = m.name, "answers don't reach the machine; no new work for it");
@@ -321,35 +327,37 @@
         }
         match a.st {
             // Kept as knowledge until the leader has recorded it.
-            St::Done if a.want => false,
+            AttemptState::Done if a.want => false,
             // Sent in an answer to an earlier report: the worker sends the next
             // one only after that answer, or having given it up, so what this
             // one does not list never came. What was not sent waits, unless
             // nothing reaches the machine.
-            St::Bound if a.want => lost(a) || deaf && a.sent.is_none(),
+            AttemptState::Bound if a.want => lost(a) || deaf && a.sent.is_none(),
             // The former holder's answer can't be under way any more once
             // the worker knows our token. A later session proves nothing
             // before that: both reports may be late copies, older than the
             // `run`, and the task would run twice.
-            St::Inherited => fenced,
+            AttemptState::Inherited => fenced,
             _ => true,
         }
     });
     gone.map(|a| {
-        tracing::debug!(machine, job = sh.jobs.id(a.job), task = a.task, attempt = a.id, st = ?a.st, "gone");
+        tracing::debug!(machine, job = shared.jobs.id(a.job), task = a.task, attempt = a.id, st = ?a.st, "gone");
         (a.id, a.shelf)
     })
     .collect()
 }
 
 /// What the worker shall do now.
-fn orders(sh: &Shared, m: &mut Machine, commands: &mut Vec<Command>) {
-    let stoppable = |a: &Attempt| matches!(a.st, St::Fetching | St::Running | St::Saving);
+fn orders(shared: &Shared, m: &mut Machine, commands: &mut Vec<Command>) {
+    let stoppable = |a: &Attempt| {
+        matches!(a.st, AttemptState::Fetching | AttemptState::Running | AttemptState::Saving)
+    };
     for a in &mut m.attempts {
-        let task = || format!("{}/{}", sh.jobs.id(a.job), a.task);
-        let job = sh.job(a.job);
-        let withdrawn = sh.is_cancelled(a.job);
-        if a.st == St::Bound
+        let task = || format!("{}/{}", shared.jobs.id(a.job), a.task);
+        let job = shared.job(a.job);
+        let withdrawn = shared.is_cancelled(a.job);
+        if a.st == AttemptState::Bound
             && a.want
             && a.written
             && !m.deaf
@@ -361,7 +369,7 @@
             a.sent.get_or_insert((m.session, m.seq));
             // How long it took to record, and then to be heard.
             let (record_ms, wait_ms) =
-                (a.written_at.saturating_sub(a.bound_at), sh.now.saturating_sub(a.written_at));
+                (a.written_at.saturating_sub(a.bound_at), shared.now.saturating_sub(a.written_at));
             tracing::debug!(
                 machine = m.name,
                 task = task(),
@@ -375,7 +383,7 @@
             let spec = job.spec.as_deref();
             let saves = spec.is_some_and(|s| s.checkpoint_s > 0.0) && !withdrawn;
             let grace = if saves { spec.map_or(0.0, |s| s.save_s) } else { 0.0 };
-            if a.st == St::Saving && !withdrawn {
+            if a.st == AttemptState::Saving && !withdrawn {
                 continue;
             }
             commands.push(Command { op: Op::Stop, task: task(), attempt: a.id, grace_s: Some(grace) });
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -18,14 +18,14 @@
 
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
 pub enum Body {
-    Beat(Beat),
-    Want(Want),
-    Have(Have),
+    Heartbeat(Heartbeat),
+    DesiredState(DesiredState),
+    ReportedState(ReportedState),
 }
 
 /// A sign of life, and whether the state service answers this node.
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
-pub struct Beat {
+pub struct Heartbeat {
     pub state_age_ms: u64,
     /// Nodes whose frames no longer arrive here; and, as `cancelled run-...`, jobs
     /// whose cancellation the sender has just confirmed. The version in production
@@ -37,12 +37,12 @@
 
 /// From the leader: everything that shall be in one block.
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
-pub struct Want {
+pub struct DesiredState {
     pub term: u64,
     pub block: u32,
     pub grant: u64,
     pub serial: u64,
-    pub jobs: Vec<WantJob>,
+    pub jobs: Vec<DesiredJob>,
     /// Tasks that fit no free room, counted on their best-fit machines.
     pub waiting: Vec<WaitingTasks>,
     pub isolated: Vec<String>,
@@ -51,7 +51,7 @@
     /// Machines whose return the cloud has confirmed.
     pub gone: Vec<String>,
     /// Machines that must not get new tasks for now.
-    pub shunned: Vec<String>,
+    pub quarantined: Vec<String>,
 }
 
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
@@ -69,7 +69,7 @@
 }
 
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
-pub struct WantJob {
+pub struct DesiredJob {
     pub job: String,
     /// Learned run time of a task, seconds.
     pub expected_s: f64,
@@ -80,21 +80,21 @@
 /// From a holder: everything that may be in one block. What is missing here
 /// is proven absent, or was never bound.
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
-pub struct Have {
+pub struct ReportedState {
     pub term: u64,
     pub block: u32,
     pub grant: u64,
-    /// Serial of the newest `Want` that this answers; 0 for none.
+    /// Serial of the newest `DesiredState` that this answers; 0 for none.
     pub echo: u64,
     /// What the machines below name by its place here: thousands of tasks
     /// share a few jobs and types.
     pub types: Vec<String>,
-    pub jobs: Vec<HaveJob>,
-    pub machines: Vec<HaveMachine>,
+    pub jobs: Vec<ReportedJob>,
+    pub machines: Vec<ReportedMachine>,
 }
 
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
-pub struct HaveJob {
+pub struct ReportedJob {
     pub job: String,
     pub team: String,
     pub cpus: f64,
@@ -103,7 +103,7 @@
 }
 
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
-pub struct HaveMachine {
+pub struct ReportedMachine {
     pub machine: String,
     pub machine_type: u32,
     pub spot: bool,
@@ -118,21 +118,21 @@
     /// Projected peak share of room, and whether the machine is overloaded.
     pub peak: f64,
     pub overloaded: bool,
-    pub tasks: Vec<HaveTask>,
+    pub tasks: Vec<ReportedTask>,
 }
 
 #[derive(Debug, Clone, Encode, Decode, PartialEq)]
-pub struct HaveTask {
+pub struct ReportedTask {
     pub job: u32,
     pub task: u32,
     pub attempt: u64,
-    pub state: HaveState,
+    pub state: ReportedPhase,
     /// Run time so far, or in all when ended.
     pub ran_ms: u64,
 }
 
 #[derive(Debug, Clone, Copy, Encode, Decode, PartialEq, Eq)]
-pub enum HaveState {
+pub enum ReportedPhase {
     /// Bound or sent, not yet seen on the machine.
     Bound,
     Fetching,
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -11,7 +11,7 @@
     pub key: String,
     #[serde(rename = "data")]
     pub value: Encoded,
-    #[serde(rename = "stamp")]
+    #[serde(rename = "version")]
     pub version: u64,
 }
 
@@ -29,7 +29,7 @@
 pub struct Cond {
     #[serde(rename = "k")]
     pub key: String,
-    #[serde(rename = "stamp")]
+    #[serde(rename = "version")]
     pub version: u64,
 }
 
@@ -92,13 +92,13 @@
     pub delete: Option<String>,
     #[serde(rename = "data", default)]
     pub value: Encoded,
-    #[serde(rename = "stamp")]
+    #[serde(rename = "version")]
     pub version: u64,
 }
 
 // ---- our own records ----
 
-/// `w/leader`: written only at election, so that its stamp is the term.
+/// `w/leader`: written only at election, so that its version is the term.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct LeaderRecord {
     pub node: String,
@@ -106,7 +106,7 @@
     pub lease: u64,
 }
 
-/// `w/block/<b>`: its stamp is the grant and, being unique and rising, also
+/// `w/block/<b>`: its version is the grant and, being unique and rising, also
 /// the fencing token that the holder shows to workers.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct BlockRecord {
--- a/tests/meetings.rs
+++ b/tests/combined_faults.rs
@@ -1,5 +1,5 @@
 //! Meetings of troubles, brought about in the order and at the moments that they
-//! need. docs/meetings.md lists what keeps the rules in each.
+//! need. docs/combined-faults.md lists what keeps the rules in each.
 
 mod support;
 
@@ -124,7 +124,7 @@
 fn nothing_but_an_answered_read_moves_the_proof() {
     let mut w = busy(504, 4);
     let node = w.leader().unwrap();
-    let proof = |w: &World| w.nodes[node].as_ref().unwrap().0.sh.proof_at;
+    let proof = |w: &World| w.nodes[node].as_ref().unwrap().0.shared.proof_at;
     w.run(1_000);
     w.state.refuses.insert(node);
     w.run(100);
@@ -147,7 +147,7 @@
     while proof(&w) == before {
         w.run(25);
     }
-    let age = w.nodes[node].as_ref().unwrap().0.sh.now - proof(&w).unwrap();
+    let age = w.nodes[node].as_ref().unwrap().0.shared.now - proof(&w).unwrap();
     assert!(age >= 20_000, "{age}");
     w.slow_watch.clear();
     w.run(25_000);
--- a/tests/final_jobs.rs
+++ b/tests/final_jobs.rs
@@ -34,7 +34,7 @@
 }
 
 fn jobs_in_memory(world: &World, node: usize) -> usize {
-    world.nodes[node].as_ref().map_or(0, |(core, _)| core.sh.jobs.len())
+    world.nodes[node].as_ref().map_or(0, |(core, _)| core.shared.jobs.len())
 }
 
 fn crash_all(world: &mut World, back_ms: u64) {
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -511,8 +511,8 @@
             let name = format!("host-{:06}", 1_000 + 2 * i);
             rec["m"].as_array_mut().unwrap().push(json!([name, 0, 4, []]));
         }
-        let (_, stamp, lease) = w.state.keys[key].clone();
-        w.state.keys.insert(key.into(), (rec, stamp, lease));
+        let (_, version, lease) = w.state.keys[key].clone();
+        w.state.keys.insert(key.into(), (rec, version, lease));
         // They can't be returned now.
         w.cloud_down = true;
         w.fall();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -327,7 +327,7 @@
     pub tasks: Vec<WTask>,
     /// When the last answered report was sent.
     lease_from: u64,
-    flying: Option<(u64, u64)>,
+    in_flight: Option<(u64, u64)>,
     next_at: u64,
     report_at: u64,
     node: usize,
@@ -1133,7 +1133,7 @@
             token: 0,
             tasks: Vec::new(),
             lease_from: up_at,
-            flying: None,
+            in_flight: None,
             next_at: up_at,
             report_at: 0,
             node: number % self.n,
@@ -1149,7 +1149,7 @@
         (w.session, w.seq, w.token) = (1, 0, 0);
         w.tasks.clear();
         w.lease_from = now;
-        w.flying = None;
+        w.in_flight = None;
         w.next_at = now;
     }
 
@@ -1166,7 +1166,7 @@
             w.session += 1;
             w.seq = 0;
             w.lease_from = now;
-            w.flying = None;
+            w.in_flight = None;
         }
         let mut started = Vec::new();
         for t in &mut w.tasks {
@@ -1185,18 +1185,19 @@
                 w.changed = true;
             }
         }
-        if let Some((_, sent)) = w.flying
+        if let Some((_, sent)) = w.in_flight
             && now > sent + 4000
         {
-            w.flying = None;
+            w.in_flight = None;
             w.node = (w.node + 1) % self.n;
             w.next_at = now + 1000;
         }
-        if w.flying.is_none() && (now >= w.next_at || w.changed && now >= w.report_at + 500) && !w.cut {
+        if w.in_flight.is_none() && (now >= w.next_at || w.changed && now >= w.report_at + 500) && !w.cut
+        {
             w.changed = false;
             w.seq += 1;
             let id = self.seq + 1;
-            w.flying = Some((id, now));
+            w.in_flight = Some((id, now));
             w.report_at = now;
             w.next_at = now + if rare { 6_000 + jitter * 8 / 3 } else { 2_250 + jitter };
             let (node, report) = (w.node, Box::new(w.report()));
@@ -1213,11 +1214,11 @@
         let now = self.now;
         let n = self.n;
         let w = &mut self.workers[i];
-        let Some((_, sent)) = w.flying.filter(|f| f.0 == id) else { return };
+        let Some((_, sent)) = w.in_flight.filter(|f| f.0 == id) else { return };
         if !w.alive || w.cut || now > sent + 4000 {
             return;
         }
-        w.flying = None;
+        w.in_flight = None;
         if answer.status == 421 {
             let r: Value = serde_json::from_str(&answer.body).unwrap_or_default();
             let to = r["foreman"].as_str().and_then(|s| s[1..].parse().ok());
--- a/tests/units.rs
+++ b/tests/units.rs
@@ -5,7 +5,7 @@
 use woadlever::core::forecast::History;
 use woadlever::core::model::{Res, TaskSet, block_of, blocks_of, split_task};
 use woadlever::core::window::{Booking, project, remaining_s};
-use woadlever::wire::peer::{Beat, Body, Frame};
+use woadlever::wire::peer::{Body, Frame, Heartbeat};
 use woadlever::wire::workers::{Report, TaskState};
 
 const PLATFORM: &str = r#"
@@ -167,7 +167,7 @@
     let f = Frame {
         from: "n1".into(),
         incarnation: 9,
-        body: Body::Beat(Beat {
+        body: Body::Heartbeat(Heartbeat {
             state_age_ms: 12,
             unheard: Vec::new(),
             counts: vec![("run-000001".into(), 1, 2)],
