Limits too small to serve at all are refused at start

Need: cluster.limits.mem_mb below what a process needs before it serves anybody (8 MB, from the bounds in docs/operations.md) and a share of a core that is not above 0 ended in a process that keeps ending, or in a division that went wrong.

Change: status 2 with the field's name, as for max_connections. tests/units.rs.

--- a/src/config.rs
+++ b/src/config.rs
@@ -192,9 +192,17 @@
     /// Share of a core.
     #[serde(default = "whole_core")]
     pub cpu: f64,
+    /// Memory that the process may use, in MB; absent: not limited.
+    #[serde(default)]
+    pub mem_mb: Option<f64>,
     pub max_connections: usize,
 }
 
+/// Below this a process would be ended for memory before it serves anybody: about
+/// 2 MB to start with, 2 MB for final jobs, 1 MB for names of returned machines, and
+/// as much again for the records of a first read and a few machines.
+const MIN_MEMORY_MB: f64 = 8.0;
+
 fn whole_core() -> f64 {
     1.0
 }
@@ -319,6 +327,12 @@
         if let Err((field, why)) = c.state.check() {
             return bad(field, why);
         }
+        if !(c.limits.cpu.is_finite() && c.limits.cpu > 0.0) {
+            return bad("cluster.limits.cpu", "must be above 0");
+        }
+        if c.limits.mem_mb.is_some_and(|mb| !(mb.is_finite() && mb >= MIN_MEMORY_MB)) {
+            return bad("cluster.limits.mem_mb", &format!("must be at least {MIN_MEMORY_MB}"));
+        }
         if c.limits.max_connections < 32 {
             return bad("cluster.limits.max_connections", "must be at least 32");
         }
--- a/tests/units.rs
+++ b/tests/units.rs
@@ -45,6 +45,10 @@
         ("txn_ops = 12", "txn_ops = \"x\"", "txn_ops"),
         ("bind = \"127.0.0.1:1\"", "bind = \"nowhere\"", "bind"),
         ("rps = 150.0", "rps = nan", "cluster.state.rps"),
+        ("max_connections = 800", "max_connections = 8", "cluster.limits.max_connections"),
+        ("max_connections = 800", "max_connections = 800\nmem_mb = 4.0", "cluster.limits.mem_mb"),
+        ("max_connections = 800", "max_connections = 800\nmem_mb = nan", "cluster.limits.mem_mb"),
+        ("max_connections = 800", "max_connections = 800\ncpu = 0.0", "cluster.limits.cpu"),
     ] {
         let e = Platform::parse("f", &PLATFORM.replacen(from, to, 1)).unwrap_err().to_string();
         assert!(e.starts_with("f: ") && e.contains(names), "{e}");
