The state service's word for a version is read again; a test of its messages

Cause: the rename of `stamp` to `version` also changed three serde renames, which are words of the protocol. The tests passed, as the scenarios hand typed values to the core.

Change: the three words; a test that holds the state service's messages against its protocol (tests/units.rs). It fails without the change. The rename's other string literals were looked through: one log line, as intended.

--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -11,7 +11,7 @@
     pub key: String,
     #[serde(rename = "data")]
     pub value: Encoded,
-    #[serde(rename = "version")]
+    #[serde(rename = "stamp")]
     pub version: u64,
 }
 
@@ -29,7 +29,7 @@
 pub struct Cond {
     #[serde(rename = "k")]
     pub key: String,
-    #[serde(rename = "version")]
+    #[serde(rename = "stamp")]
     pub version: u64,
 }
 
@@ -92,7 +92,7 @@
     pub delete: Option<String>,
     #[serde(rename = "data", default)]
     pub value: Encoded,
-    #[serde(rename = "version")]
+    #[serde(rename = "stamp")]
     pub version: u64,
 }
 
--- a/tests/units.rs
+++ b/tests/units.rs
@@ -1,11 +1,16 @@
 //! Small parts on their own: settings, formats, forecast and projection.
 
+use serde_json::json;
 use std::collections::BTreeMap;
 use woadlever::config::{Operator, Platform};
 use woadlever::core::forecast::History;
 use woadlever::core::model::{Res, TaskSet, block_of, blocks_of, split_task};
 use woadlever::core::window::{Booking, project, remaining_s};
+use woadlever::wire::encoded::Encoded;
 use woadlever::wire::peer::{Body, Frame, Heartbeat};
+use woadlever::wire::state::{
+    Change, Cond, Item, LeaseGranted, Page, Txn, TxnDone, TxnFailed, WatchAnswer,
+};
 use woadlever::wire::workers::{Report, TaskState};
 
 const PLATFORM: &str = r#"
@@ -248,3 +253,37 @@
     let bytes = std::mem::size_of::<woadlever::core::job_table::Job>();
     assert!(bytes <= 112, "{bytes}");
 }
+
+/// The words of the state service's protocol. The scenario tests hand typed values to
+/// the core, so that nothing else here would notice a wrong one.
+#[test]
+fn the_state_services_messages_are_read_and_written_in_its_words() {
+    let item: Item =
+        serde_json::from_str(r#"{"k":"a/b","data":{"x":1},"stamp":412,"permit":7}"#).unwrap();
+    assert_eq!((item.key.as_str(), item.version), ("a/b", 412));
+    assert_eq!(item.value.decode::<serde_json::Value>().unwrap(), json!({"x": 1}));
+    let page = r#"{"pairs":[{"k":"c/8","data":2,"stamp":5}],"has_next":true,"ledger":431}"#;
+    let page: Page = serde_json::from_str(page).unwrap();
+    assert_eq!((page.items.len(), page.items[0].version, page.more, page.revision), (1, 5, true, 431));
+    let watch =
+        r#"{"ledger":433,"log":[{"write":"c/9","data":3,"stamp":433},{"drop":"c/d","stamp":432}]}"#;
+    let watch: WatchAnswer = serde_json::from_str(watch).unwrap();
+    assert_eq!((watch.revision, watch.events[0].version, watch.events[1].version), (433, 433, 432));
+    assert_eq!(watch.events[0].put.as_deref(), Some("c/9"));
+    assert_eq!(watch.events[1].delete.as_deref(), Some("c/d"));
+    let txn = Txn {
+        conds: vec![Cond { key: "a/b".into(), version: 3 }],
+        changes: vec![
+            Change::Put { key: "a/b".into(), value: Encoded::new(&json!({"x": 1})), lease: Some(7) },
+            Change::Put { key: "a/c".into(), value: Encoded::new("text"), lease: None },
+            Change::Delete { key: "c/d".into() },
+        ],
+    };
+    let expected = json!({"if": [{"k": "a/b", "stamp": 3}],
+        "apply": [{"write": "a/b", "data": {"x": 1}, "permit": 7}, {"write": "a/c", "data": "text"}, {"drop": "c/d"}]});
+    assert_eq!(serde_json::to_value(&txn).unwrap(), expected);
+    let done: TxnDone = serde_json::from_str(r#"{"ledger":432}"#).unwrap();
+    let failed: TxnFailed = serde_json::from_str(r#"{"failed":["a/b"],"ledger":431}"#).unwrap();
+    let lease: LeaseGranted = serde_json::from_str(r#"{"permit":7}"#).unwrap();
+    assert_eq!((done.revision, failed.failed, lease.lease), (432, vec!["a/b".to_string()], 7));
+}
