Settings divided by file: platform, operator, overload

Change: one module for each file and section; the reader of true and false is shared. No behaviour changes.

--- /dev/null
+++ b/src/config/overload.rs
@@ -0,0 +1,69 @@
+//! Settings of the behaviour under overload.
+
+use super::{ConfigError, flag, number_within};
+use woadlever_overload::admission::AdmissionSettings;
+
+/// What a node does when more is asked than it can do.
+#[derive(Debug, Clone)]
+pub struct OverloadSettings {
+    /// Whether connections and requests are chosen by importance at all.
+    pub enabled: bool,
+    /// Lag of the event loop that is no pressure yet, milliseconds.
+    pub lag_target_ms: u64,
+    /// How long more lag has to last to count as pressure, milliseconds.
+    pub lag_interval_ms: u64,
+    /// Requests that wait between the socket and the core.
+    pub queue: usize,
+    /// Rates of new connections.
+    pub admission: AdmissionSettings,
+}
+
+impl Default for OverloadSettings {
+    fn default() -> Self {
+        OverloadSettings {
+            enabled: false,
+            lag_target_ms: 100,
+            lag_interval_ms: 500,
+            queue: 256,
+            admission: AdmissionSettings::default(),
+        }
+    }
+}
+
+impl OverloadSettings {
+    pub(super) fn set(&mut self, key: &str, value: &str) -> Result<(), String> {
+        match key {
+            "enabled" => self.enabled = flag(value)?,
+            "lag_target_ms" => self.lag_target_ms = number_within(value, 10.0, 10_000.0)? as u64,
+            "lag_interval_ms" => self.lag_interval_ms = number_within(value, 10.0, 60_000.0)? as u64,
+            "queue" => self.queue = number_within(value, 16.0, 4_096.0)? as usize,
+            "connections_per_core" => {
+                self.admission.connections_per_core = number_within(value, 10.0, 1e6)?;
+            }
+            "rejections_per_core" => {
+                self.admission.rejections_per_core = number_within(value, 10.0, 1e7)?;
+            }
+            "least_share" => self.admission.least_share = number_within(value, 0.01, 1.0)?,
+            "cut_interval_ms" => {
+                self.admission.interval_ms = number_within(value, 100.0, 60_000.0)? as u64;
+            }
+            _ => return Err("unknown setting".into()),
+        }
+        Ok(())
+    }
+
+    /// Settings that contradict each other.
+    pub(super) fn check(&self, file: &str) -> Result<(), ConfigError> {
+        let bad = |key: &str, why: &str| {
+            let field = format!("[overload] {key}");
+            Err(ConfigError::Field { file: file.into(), field, why: why.into() })
+        };
+        if self.lag_interval_ms < self.lag_target_ms {
+            return bad("lag_interval_ms", "must be no less than lag_target_ms");
+        }
+        if self.admission.rejections_per_core < self.admission.connections_per_core {
+            return bad("rejections_per_core", "must be no less than connections_per_core");
+        }
+        Ok(())
+    }
+}
