--- /dev/null
+++ b/crates/cells/src/origin.rs
@@ -0,0 +1,83 @@
+//! The origin's side: what becomes of a job that was forwarded.
+
+use crate::Millis;
+use crate::message::HostedPhase;
+use crate::record::ForwardPhase;
+
+/// Times after which the origin acts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OriginLimits {
+    /// A host cell that has been silent for so long must give its jobs back.
+    pub silence_ms: Millis,
+    /// So must one at which no task of the job has run for so long, and none is done.
+    pub idle_ms: Millis,
+    /// See [`crate::lease::CellTiming::reclaim_after_ms`].
+    pub reclaim_after_ms: Millis,
+}
+
+/// A forwarded job as the origin's leader knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ForwardView {
+    /// How far the forwarding is on record.
+    pub phase: ForwardPhase,
+    /// Time since this leader first saw the record in this phase.
+    pub in_phase_ms: Millis,
+    /// What the host says of this epoch.
+    pub reported: Option<HostedPhase>,
+    /// Time since the host cell was last heard, by this leader.
+    pub host_silent_ms: Millis,
+    /// Time for which the host has shown no progress: nothing runs, nothing is done.
+    pub idle_ms: Millis,
+}
+
+/// Why a job is to be given back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecallReason {
+    /// The host did not accept it.
+    Refused,
+    /// The host cell is silent.
+    Silent,
+    /// The host accepted it and has not started it.
+    Idle,
+}
+
+/// What the origin does next with a forwarded job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginStep {
+    /// Nothing.
+    Wait,
+    /// Put the recall on record.
+    Recall(RecallReason),
+    /// Put on record that the job is here again. `is_confirmed` is false if the host
+    /// said nothing and the time of its lease has passed.
+    Return {
+        /// Whether the host released the job.
+        is_confirmed: bool,
+    },
+    /// Put on record that the job is done.
+    Finish,
+}
+
+/// The next step. The host's word on a job that is done or released is final; all else
+/// rests on time.
+pub fn next_step(view: &ForwardView, limits: &OriginLimits) -> OriginStep {
+    match (view.phase, view.reported) {
+        (ForwardPhase::Returned, _) => OriginStep::Wait,
+        (_, Some(HostedPhase::Done)) => OriginStep::Finish,
+        (_, Some(HostedPhase::Released)) => OriginStep::Return { is_confirmed: true },
+        (ForwardPhase::Recalled, _) if view.in_phase_ms >= limits.reclaim_after_ms => {
+            OriginStep::Return { is_confirmed: false }
+        }
+        (ForwardPhase::Recalled, _) => OriginStep::Wait,
+        (ForwardPhase::Active, Some(HostedPhase::Refused { .. })) => {
+            OriginStep::Recall(RecallReason::Refused)
+        }
+        (ForwardPhase::Active, _) if view.host_silent_ms >= limits.silence_ms => {
+            OriginStep::Recall(RecallReason::Silent)
+        }
+        (ForwardPhase::Active, _) if view.idle_ms >= limits.idle_ms => {
+            OriginStep::Recall(RecallReason::Idle)
+        }
+        (ForwardPhase::Active, _) => OriginStep::Wait,
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,10 +3,12 @@
 //! Both are checked in full before anything starts, so that a mistake is
 //! one line naming the file and the field instead of odd behaviour later.
 
+mod cells;
 mod operator;
 mod overload;
 mod platform;
 
+pub use cells::{CellNeighbor, CellSettings};
 pub use operator::Operator;
 pub use overload::OverloadSettings;
 pub use platform::{
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -1,6 +1,7 @@
 //! The operators' file.
 
-use super::{ConfigError, OverloadSettings, number_within, read};
+use super::cells::CELL_SECTION;
+use super::{CellSettings, ConfigError, OverloadSettings, number_within, read};
 use std::path::Path;
 
 /// The operators' settings, with the design's values as defaults.
@@ -37,6 +38,8 @@
     pub starve_after_s: f64,
     /// Behaviour under overload.
     pub overload: OverloadSettings,
+    /// Other cells that share load.
+    pub cells: CellSettings,
 }
 
 impl Default for Operator {
@@ -57,6 +60,7 @@
             preempt_after_s: 180.0,
             starve_after_s: 120.0,
             overload: OverloadSettings::default(),
+            cells: CellSettings::default(),
         }
     }
 }
@@ -80,6 +84,7 @@
             }
         }
         op.overload.check(file)?;
+        op.cells.check(file)?;
         Ok(op)
     }
 
@@ -103,6 +108,11 @@
             ("leases", "leader_s") => self.leader_ttl_s = number(0.5, 600.0)?,
             ("leases", "node_silence_s") => self.node_silence_s = number(0.5, 600.0)?,
             ("overload", _) => return self.overload.set(key, value).map_err(err),
+            ("cells", _) => return self.cells.set(key, value).map_err(err),
+            (section, _) if section.starts_with(CELL_SECTION) => {
+                let cell = section[CELL_SECTION.len()..].trim();
+                return self.cells.set_neighbor(cell, key, value).map_err(err);
+            }
             _ => return Err(err("unknown setting".into())),
         }
         Ok(())
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
+use woadlever_cells::lease::CellTiming;
 
 /// The platform's file. Unknown fields are ignored by agreement.
 #[derive(Debug, Clone, Deserialize)]
@@ -66,6 +67,9 @@
     pub objectives: Vec<Objective>,
     /// Times of the worker protocol.
     pub workers: Workers,
+    /// Bound on the error of the time of day, in milliseconds.
+    #[serde(default = "default_clock_off_ms")]
+    pub clock_off_ms: f64,
     /// Limits of the state service.
     pub state: StateLimits,
     /// Limits of the cloud.
@@ -240,6 +244,11 @@
 /// as much again for the records of a first read and a few machines.
 const MIN_MEMORY_MB: f64 = 8.0;
 
+/// Taken for the error of the time of day where the file does not say.
+fn default_clock_off_ms() -> f64 {
+    500.0
+}
+
 fn whole_core() -> f64 {
     1.0
 }
@@ -290,6 +299,9 @@
                 return bad(field, "must be a number above 0");
             }
         }
+        if !(c.clock_off_ms.is_finite() && c.clock_off_ms >= 0.0) {
+            return bad("cluster.clock_off_ms", "must be 0 or more");
+        }
         if !(c.cloud.list_lag_s.is_finite() && c.cloud.list_lag_s >= 0.0) {
             return bad("cluster.cloud.list_lag_s", "must be 0 or more");
         }
@@ -324,6 +336,15 @@
         Ok(())
     }
 
+    /// Times that leases between cells follow from.
+    pub fn cell_timing(&self) -> CellTiming {
+        CellTiming {
+            worker_lease_ms: (self.cluster.workers.lease_s * 1000.0) as u64,
+            cancel_ms: (self.cluster.workers.cancel_s * 1000.0) as u64,
+            clock_error_ms: self.cluster.clock_off_ms.ceil() as u64,
+        }
+    }
+
     /// How long one proof of authority lasts, in milliseconds: short enough
     /// that a holder cut off from all but its workers lets their leases end
     /// within the time that a cancellation has.
--- a/src/core/common/job_table.rs
+++ b/src/core/common/job_table.rs
@@ -11,10 +11,11 @@
 
 use super::job_links::Links;
 use super::model::{Ms, Spec};
-use crate::wire::state::JobState;
+use crate::wire::state::{JobRecord, JobState};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
+use woadlever_cells::record::{Forwarding, Origin};
 
 /// Jobs in a final state that are kept in memory.
 pub const MAX_FINAL_JOBS: usize = 2_048;
@@ -42,6 +43,26 @@
     /// has not been seen here yet. The job takes no task any more; users are
     /// answered by the record alone.
     pub cancellation_noticed: bool,
+    /// Another cell that it concerns. Few jobs have one, so that it is kept apart.
+    pub cell: Option<Box<CellLink>>,
+}
+
+/// What another cell has to do with a job.
+#[derive(Debug)]
+pub enum CellLink {
+    /// It has been forwarded there.
+    Forwarded(Forwarding),
+    /// It belongs there.
+    Hosted(Origin),
+}
+
+impl CellLink {
+    /// What a job's record says.
+    pub(crate) fn of(record: &JobRecord) -> Option<Box<CellLink>> {
+        let hosted = record.origin.clone().map(CellLink::Hosted);
+        let link = hosted.or_else(|| record.forwarding.clone().map(CellLink::Forwarded));
+        link.map(Box::new)
+    }
 }
 
 impl Job {
@@ -54,9 +75,31 @@
             state_since: now,
             links: Links::default(),
             cancellation_noticed: false,
+            cell: None,
+        }
+    }
+
+    /// Where it has been forwarded to.
+    pub fn forwarding(&self) -> Option<&Forwarding> {
+        match self.cell.as_deref() {
+            Some(CellLink::Forwarded(forwarding)) => Some(forwarding),
+            _ => None,
         }
     }
 
+    /// The cell that it belongs to, if not to this one.
+    pub fn origin(&self) -> Option<&Origin> {
+        match self.cell.as_deref() {
+            Some(CellLink::Hosted(origin)) => Some(origin),
+            _ => None,
+        }
+    }
+
+    /// Whether only another cell may run it.
+    pub fn is_away(&self) -> bool {
+        self.forwarding().is_some_and(Forwarding::is_away)
+    }
+
     /// Whether its record has been read.
     pub fn is_read(&self) -> bool {
         self.version > 0
--- a/src/core/common/mod.rs
+++ b/src/core/common/mod.rs
@@ -1,7 +1,9 @@
 //! What every role of a node uses: the watched records, the election, jobs,
 //! tables, and the rules on machines and work that leader and holder share.
 
-pub(crate) mod job_links;
+pub mod cell_leases;
+pub(crate) mod feasibility;
+mod job_links;
 pub mod job_table;
 pub(crate) mod lookups;
 pub mod model;
--- a/src/core/common/shared.rs
+++ b/src/core/common/shared.rs
@@ -1,7 +1,8 @@
 //! What all roles of a node share: settings, the watched records, the clock,
 //! the calls on their way and the things to put out.
 
-use super::job_table::{Job, JobTable};
+use super::cell_leases::CellLeases;
+use super::job_table::{CellLink, Job, JobTable};
 use super::model::{Block, MachineType, Ms, Spec, block_of, blocks_of};
 use crate::config::{Operator, Platform};
 use crate::core::{Answer, CloudOp, Output, Purpose, StateOp, StateResult};
@@ -13,6 +14,8 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::HashMap;
 use std::sync::Arc;
+use woadlever_cells::message::CellMessage;
+use woadlever_cells::record::Origin;
 use woadlever_recovery::session::Timing;
 
 /// Machines and tasks in state messages that a whole core is taken to handle in a
@@ -143,6 +146,8 @@
     pub jobs: JobTable,
     /// Rises with every change of a job's state, so that roles know to look.
     pub jobs_changed: Vec<u32>,
+    /// Leases under which the jobs of other cells run here.
+    pub cell_leases: CellLeases,
     /// Machine types of the catalog.
     pub types: Vec<MachineType>,
     /// Types that live work depends on, as it fits no other.
@@ -216,6 +221,7 @@
             leader_seen: 0,
             jobs: JobTable::default(),
             jobs_changed: Vec::new(),
+            cell_leases: CellLeases::new(cfg.cell_timing()),
             types: Vec::new(),
             scarce: FxHashSet::default(),
             scarce_at: 0,
@@ -305,6 +311,11 @@
         self.writes.has(self.now, n as f64)
     }
 
+    /// Sends a message to another cell.
+    pub fn send_cell(&mut self, cell: &str, message: CellMessage) {
+        self.out.push(Output::SendCell { cell: cell.into(), message: Box::new(message) });
+    }
+
     /// Sends a frame to a node.
     pub fn send(&mut self, to: &str, body: Body) {
         let frame = Frame { from: self.me.clone(), incarnation: self.incarnation, body };
@@ -389,10 +400,14 @@
         }
     }
 
-    /// Whether the job's cancellation is confirmed, as far as is known here.
-    pub fn is_cancelled(&self, ix: u32) -> bool {
+    /// Whether no task of the job may be told to run or to go on: its cancellation is
+    /// confirmed, as far as is known here, or it belongs to another cell, whose lease has
+    /// ended.
+    pub fn must_stop(&self, ix: u32) -> bool {
         let job = self.job(ix);
-        job.state == JobState::Cancelled || job.cancellation_noticed
+        let is_cancelled = job.state == JobState::Cancelled || job.cancellation_noticed;
+        let is_paused = |origin: &Origin| !self.cell_leases.is_valid(&origin.cell, self.wall);
+        is_cancelled || job.origin().is_some_and(is_paused)
     }
 
     /// Notes a sign of life of another node.
@@ -606,6 +621,10 @@
         if first {
             job.tasks = rec.tasks;
         }
+        // A final state that was written here may leave it out; whose job it is never changes.
+        if job.origin().is_none() || rec.origin.is_some() {
+            job.cell = CellLink::of(&rec);
+        }
         let (spec, awaits) = rec.into_parts();
         if let Some(spec) = spec {
             job.spec = Some(Arc::new(spec));
--- a/src/core/common/sync.rs
+++ b/src/core/common/sync.rs
@@ -4,12 +4,14 @@
 //! we know of blocks and cancellations was current. A holder's authority is
 //! counted from there.
 
+use super::cell_leases::CELL_LEASES;
 use super::model::{MachineType, Ms, merge_types};
 use super::shared::{RecordSource, Shared};
 use crate::core::{Purpose, StateOp, StateResult};
 use crate::wire::cloud;
 use crate::wire::encoded::Encoded;
 use crate::wire::state::{BlockRecord, Item, JobRecord, LeaderRecord};
+use woadlever_cells::record::CellLease;
 
 pub const PREFIX: &str = "w/";
 pub const LEADER: &str = "w/leader";
@@ -178,6 +180,10 @@
         if let Some(r) = value.and_then(|v| read::<JobRecord>(key, v)) {
             shared.put_job(id, r, version, source);
         }
+    } else if let Some(cell) = key.strip_prefix(CELL_LEASES) {
+        if let Some(lease) = value.and_then(|v| read::<CellLease>(key, v)) {
+            shared.cell_leases.put(cell, lease, version);
+        }
     } else if key == CATALOG || key.starts_with("w/catalog/") {
         let known = shared.catalog_versions.entry(key.to_string()).or_default();
         if version <= *known {
--- a/src/core/holder/binding.rs
+++ b/src/core/holder/binding.rs
@@ -53,7 +53,7 @@
     ) -> bool {
         let &Granted { id, job, task, expected } = granted;
         let j = shared.job(job);
-        let (Some(spec), JobState::Live, false) = (j.spec.clone(), j.state, j.cancellation_noticed)
+        let (Some(spec), JobState::Live, false) = (j.spec.clone(), j.state, shared.must_stop(job))
         else {
             return false;
         };
--- a/src/core/holder/direct_commands.rs
+++ b/src/core/holder/direct_commands.rs
@@ -55,7 +55,7 @@
         grace_s: Some(0.0),
     };
     let may_be_there = |a: &&Attempt| attempt::may_need_direct_stop(&a.state());
-    let due = m.attempts.iter().filter(may_be_there).filter(|a| shared.is_cancelled(a.job));
+    let due = m.attempts.iter().filter(may_be_there).filter(|a| shared.must_stop(a.job));
     let commands: Vec<Command> = due.map(stop).collect();
     if commands.is_empty() || m.addr.is_empty() || m.worker.has_ended() {
         return;
--- a/src/core/holder/placement_records.rs
+++ b/src/core/holder/placement_records.rs
@@ -656,6 +656,6 @@
         !self.written
             && self.wanted
             && shared.job(self.job).state == JobState::Live
-            && !shared.is_cancelled(self.job)
+            && !shared.must_stop(self.job)
     }
 }
--- a/src/core/holder/worker_heartbeats.rs
+++ b/src/core/holder/worker_heartbeats.rs
@@ -136,8 +136,8 @@
 /// Whether a report that waits is to be answered at once for this attempt.
 fn has_news(shared: &Shared, a: &Attempt) -> bool {
     match a.phase {
-        AttemptPhase::Bound => a.is_ready() && a.run_sent.is_none() && !shared.is_cancelled(a.job),
-        AttemptPhase::Fetching | AttemptPhase::Running => !a.wanted || shared.is_cancelled(a.job),
+        AttemptPhase::Bound => a.is_ready() && a.run_sent.is_none() && !shared.must_stop(a.job),
+        AttemptPhase::Fetching | AttemptPhase::Running => !a.wanted || shared.must_stop(a.job),
         _ => false,
     }
 }
@@ -168,7 +168,7 @@
         let spec = job.spec.as_deref();
         let standing = JobStanding {
             is_live: job.state == JobState::Live,
-            is_cancelled: shared.is_cancelled(a.job),
+            is_cancelled: shared.must_stop(a.job),
             saves: spec.is_some_and(|spec| spec.checkpoint_s > 0.0),
         };
         let starts_allowed = !m.returning_written;
--- a/src/core/leader/attempts.rs
+++ b/src/core/leader/attempts.rs
@@ -91,6 +91,11 @@
         self.by_task.range((job, task, 0)..=(job, task, u64::MAX)).next().is_some()
     }
 
+    /// Whether any attempt at a task of the job is known.
+    pub fn has_job(&self, job: u32) -> bool {
+        self.by_task.range((job, 0, 0)..=(job, u32::MAX, u64::MAX)).next().is_some()
+    }
+
     pub fn of_job(&self, job: u32) -> Vec<u64> {
         self.by_task.range((job, 0, 0)..=(job, u32::MAX, u64::MAX)).map(|(_, _, id)| *id).collect()
     }
--- /dev/null
+++ b/src/core/leader/cells/capacity.rs
@@ -0,0 +1,121 @@
+//! What this cell has room for, as it tells the others.
+
+use super::Cells;
+use crate::core::common::model::{Ms, Res, Spec};
+use crate::core::common::shared::Shared;
+use crate::core::leader::Leader;
+use crate::core::leader::grants::{Class, Rooms, quota_tasks};
+use woadlever_cells::routing::{Amount, ClassCapacity, JobShape};
+
+/// Machines that one call to the cloud rents at most.
+const MAX_RENTS: u32 = 50;
+/// Pause between two looks at all machines; more where there are many.
+const REFRESH_MS: Ms = 1_000;
+
+/// An amount as cells speak of it.
+fn amount(res: &Res) -> Amount {
+    Amount { cpus: res.cpus, gpus: res.gpus, memory_gb: res.mem }
+}
+
+/// What a job needs, as cells speak of it.
+pub(super) fn shape_of(spec: &Spec) -> JobShape<'_> {
+    JobShape {
+        need: amount(&spec.need()),
+        tasks: spec.tasks,
+        types: spec.types.as_deref(),
+        zone: spec.zone.as_deref(),
+        one_zone: spec.one_zone,
+        spread: spec.spread,
+        allows_spot: spec.spot,
+    }
+}
+
+impl Cells {
+    /// Counts free room anew. What waits here has the first claim on it.
+    pub(super) fn refresh_capacity(&mut self, leader: &Leader, shared: &Shared) {
+        self.capacity_at = shared.now + shared.widened(REFRESH_MS, leader.fleet.machines.len());
+        self.team_use = leader.team_use(shared);
+        self.capacity.clear();
+        if !shared.op.cells.accept || shared.types.is_empty() {
+            return;
+        }
+        self.capacity = free_room(leader, shared);
+        for (job, tasks) in &leader.fleet.waiting {
+            let Some(job) = leader.jobs.get(job) else { continue };
+            let waiting = JobShape { tasks: *tasks, ..shape_of(&job.spec) };
+            waiting.reserve(&mut self.capacity);
+        }
+    }
+
+    /// Whether a job of another cell finds room here, within its team's limit.
+    pub(super) fn has_room_for(&self, shared: &Shared, spec: &Spec) -> bool {
+        let teams = &shared.cfg.cluster.teams;
+        let Some(team) = teams.iter().position(|team| team.name == spec.team) else { return false };
+        let Some(used) = self.team_use.get(team) else { return false };
+        let within_limit = quota_tasks(&teams[team], used, &spec.need()) > 0;
+        within_limit && shape_of(spec).fits(&self.capacity, shared.op.cells.fit_share)
+    }
+}
+
+/// Room by class: free on machines that may get tasks now, and on machines that the cloud
+/// may still have.
+fn free_room(leader: &Leader, shared: &Shared) -> Vec<ClassCapacity> {
+    let mut capacity = rentable_room(leader, shared);
+    add_rooms(shared, &leader.rooms(shared), &mut capacity);
+    capacity
+}
+
+/// Room by class that is free, or on machines that boot or are asked for.
+pub(super) fn room_to_come(leader: &Leader, shared: &Shared) -> Vec<ClassCapacity> {
+    let mut capacity = rentable_room(leader, shared);
+    for class in &mut capacity {
+        class.rentable = 0;
+    }
+    add_rooms(shared, &leader.rooms_to_come(shared), &mut capacity);
+    capacity
+}
+
+fn add_rooms(shared: &Shared, rooms: &Rooms, capacity: &mut [ClassCapacity]) {
+    let place_of = |class: &Class| {
+        let name = &shared.types[class.kind].name;
+        let is_it = |known: &ClassCapacity| {
+            known.is_spot == class.spot && known.zone == class.zone && known.machine_type == *name
+        };
+        capacity.iter().position(is_it)
+    };
+    let places: Vec<Option<usize>> = rooms.classes.iter().map(place_of).collect();
+    for room in &rooms.list {
+        let Some(class) = places[room.class].and_then(|place| capacity.get_mut(place)) else { continue };
+        let free = amount(&room.free);
+        class.free.add(&free);
+        class.largest = Amount {
+            cpus: class.largest.cpus.max(free.cpus),
+            gpus: class.largest.gpus.max(free.gpus),
+            memory_gb: class.largest.memory_gb.max(free.memory_gb),
+        };
+    }
+}
+
+/// Machines that the cloud may have: as many of each class as one call asks for, unless
+/// it has refused some a moment ago.
+fn rentable_room(leader: &Leader, shared: &Shared) -> Vec<ClassCapacity> {
+    let mut capacity = Vec::new();
+    for (kind, machine_type) in shared.types.iter().enumerate() {
+        for zone in &machine_type.zones {
+            for is_spot in [false, true] {
+                let refused = leader.fleet.refused.get(&(kind, zone.clone(), is_spot));
+                let is_refused = refused.is_some_and(|(until, _)| *until > shared.now);
+                capacity.push(ClassCapacity {
+                    machine_type: machine_type.name.clone(),
+                    zone: zone.clone(),
+                    is_spot,
+                    machine: amount(&machine_type.room),
+                    free: Amount::default(),
+                    largest: Amount::default(),
+                    rentable: if is_refused { 0 } else { MAX_RENTS },
+                });
+            }
+        }
+    }
+    capacity
+}
--- /dev/null
+++ b/src/core/leader/cells/host.rs
@@ -0,0 +1,363 @@
+//! Jobs of other cells that this one hosts: accepted, run under a lease, given back.
+
+use super::capacity::shape_of;
+use super::{CellCall, Cells, Creation, RETRY_MS};
+use crate::core::common::cell_leases::cell_lease_key;
+use crate::core::common::feasibility::can_run;
+use crate::core::common::model::{Ms, Spec};
+use crate::core::common::shared::{RecordSource, Shared};
+use crate::core::common::sync::job_key;
+use crate::core::leader::live_jobs::CellStanding;
+use crate::core::leader::{Leader, LeaderCall};
+use crate::core::{Purpose, StateOp, StateResult};
+use crate::wire::encoded::Encoded;
+use crate::wire::peer::{MAX_FRAME, ReportedPhase};
+use crate::wire::state::{Change, Cond, JobRecord, JobState, Txn};
+use crate::wire::users::{MAX_TASKS, valid_id};
+use rustc_hash::FxHashMap;
+use std::collections::HashMap;
+use woadlever_cells::host::{Admission, HostRecord, HostStep, Listing, decide, may_extend_lease};
+use woadlever_cells::message::{ForwardedJob, ForwardedState, HostedJob};
+use woadlever_cells::record::{CellLease, Origin};
+
+/// A lease is written anew when the origin has extended it by this much, so that it costs
+/// one change in some seconds whatever the number of jobs.
+const LEASE_STEP_MS: Ms = 4_000;
+/// Time after which an origin should offer a job again.
+const REFUSED_MS: Ms = 10_000;
+
+/// Bits of tasks that are done, in one message: a quarter of what a frame takes. Jobs for
+/// which none are left are told of without them, until they are done.
+const MAX_DONE_BYTES: usize = MAX_FRAME / 4;
+/// A hosted job whose cell's lease has ended so long ago is withdrawn. Its tasks have long
+/// been stopped.
+const ABANDON_MS: u64 = 600_000;
+
+/// The hosted live jobs of one cell, with what its newest message says of them.
+type HostedJobs = Vec<(u32, Listing)>;
+
+impl Cells {
+    /// Follows what each other cell has forwarded to this one.
+    pub(super) fn follow_hosted(&mut self, leader: &mut Leader, shared: &mut Shared) {
+        let running = running_by_job(leader);
+        for cell in self.neighbors.keys().cloned().collect::<Vec<_>>() {
+            let Some((forwarded, revision)) = self.neighbors[&cell].forwarded() else { continue };
+            // Composed before the one that the lease on record rests on.
+            if revision < shared.cell_leases.get(&cell).0.revision {
+                continue;
+            }
+            let forwarded = forwarded.clone();
+            let hosted = list_hosted(leader, shared, &cell, &forwarded, revision);
+            for (index, listing) in &hosted {
+                self.follow_live(leader, shared, *index, *listing);
+            }
+            let mut reports = Vec::new();
+            let mut bytes_left = MAX_DONE_BYTES;
+            for job in &forwarded.jobs {
+                let report = self.follow_listed(leader, shared, &cell, &forwarded, job, &running);
+                reports.extend(report.map(|report| limit_done(report, &mut bytes_left)));
+            }
+            self.hosted.insert(cell.clone(), reports);
+            self.extend_lease(leader, shared, &cell, &forwarded, revision, &hosted);
+        }
+    }
+
+    /// Withdraws hosted jobs whose cell has not been heard for very long, or is no longer
+    /// named in the settings.
+    pub(super) fn abandon(&mut self, leader: &mut Leader, shared: &mut Shared) {
+        let is_abandoned = |index: &u32| {
+            let origin = shared.job(*index).origin();
+            let lease = origin.map(|origin| shared.cell_leases.get(&origin.cell).0);
+            lease.is_some_and(|lease| lease.until_ms + ABANDON_MS < shared.wall)
+        };
+        // One accepted a moment ago may have no lease yet.
+        let is_old = |index: &u32| shared.job(*index).state_since + ABANDON_MS < shared.now;
+        let hosted = leader.jobs.iter().filter(|(_, job)| job.is_hosted()).map(|(index, _)| *index);
+        let abandoned: Vec<u32> = hosted.filter(is_abandoned).filter(is_old).collect();
+        for index in abandoned {
+            self.follow_live(leader, shared, index, Listing::Absent);
+        }
+    }
+
+    /// A hosted job that is live on record: it may be granted while it is listed, and is
+    /// withdrawn when it is not.
+    fn follow_live(&mut self, leader: &mut Leader, shared: &mut Shared, index: u32, listing: Listing) {
+        let is_listed = listing == Listing::Active;
+        let Some(job) = leader.jobs.get_mut(&index) else { return };
+        if (job.standing != CellStanding::Hosted { is_listed }) {
+            job.standing = CellStanding::Hosted { is_listed };
+            leader.cycle_due = true;
+        }
+        if is_listed {
+            return;
+        }
+        let done = job.done.to_hex(0, usize::MAX);
+        let tasks = job.spec.tasks;
+        let Some(origin) = shared.job(index).origin().cloned() else { return };
+        let most = shared.cfg.cluster.state.value_bytes();
+        let mut record = JobRecord::tombstone(tasks, Origin { done, ..origin.clone() });
+        if Encoded::new(&record).len() > most {
+            // Some tasks are then run again by the origin.
+            record = JobRecord::tombstone(tasks, origin);
+        }
+        self.change_record(leader, shared, index, record);
+    }
+
+    /// A job that the newest message lists: what is written, and what the origin is told.
+    fn follow_listed(
+        &mut self,
+        leader: &mut Leader,
+        shared: &mut Shared,
+        cell: &str,
+        forwarded: &ForwardedState,
+        job: &ForwardedJob,
+        running: &FxHashMap<u32, u32>,
+    ) -> Option<HostedJob> {
+        let listing = if job.is_recalled { Listing::Recalled } else { Listing::Active };
+        let record = host_record(leader, shared, cell, job, running);
+        let spec = job.spec.as_deref().map(serde_json::from_slice::<Spec>);
+        let is_unreadable = matches!(spec, Some(Err(_)));
+        let spec = spec.and_then(Result::ok);
+        if record == HostRecord::Unknown && listing == Listing::Active {
+            // Its description comes with a later message.
+            if spec.is_none() && !is_unreadable {
+                return None;
+            }
+            // Accepted already, as far as this leader is concerned.
+            if self.creations.contains_key(&job.id) {
+                self.create(leader, shared, cell, job, spec);
+                return None;
+            }
+        }
+        let admission = self.admission(shared, forwarded, job, spec.as_ref());
+        let (step, phase) = decide(listing, record, admission);
+        match step {
+            HostStep::Accept => {
+                if let Some(spec) = &spec {
+                    shape_of(spec).reserve(&mut self.capacity);
+                }
+                self.create(leader, shared, cell, job, spec);
+            }
+            HostStep::Tombstone => self.create(leader, shared, cell, job, None),
+            // A live job that is recalled is withdrawn with the others of its cell.
+            HostStep::None | HostStep::Withdraw => {}
+        }
+        let done = done_bits(leader, shared, &job.id, record);
+        phase.map(|phase| HostedJob { id: job.id.clone(), epoch: job.epoch, phase, done })
+    }
+
+    /// Whether a job of another cell is taken on now.
+    fn admission(
+        &self,
+        shared: &Shared,
+        forwarded: &ForwardedState,
+        job: &ForwardedJob,
+        spec: Option<&Spec>,
+    ) -> Admission {
+        let timing = shared.cell_leases.timing();
+        let has_ended = timing.has_ended(forwarded.lease_until_ms, shared.wall);
+        if has_ended || shared.types.is_empty() {
+            return Admission::Undecided;
+        }
+        let is_sound =
+            |spec: &Spec| valid_id(&job.id) && (1..=MAX_TASKS).contains(&u64::from(spec.tasks));
+        let is_welcome = |spec: &Spec| {
+            is_sound(spec) && can_run(shared, spec).is_ok() && self.has_room_for(shared, spec)
+        };
+        match spec.is_some_and(is_welcome) {
+            true => Admission::Accept,
+            false => Admission::Refuse { retry_after_ms: REFUSED_MS },
+        }
+    }
+
+    /// Writes the first record of a job: accepted, or else a tombstone.
+    fn create(
+        &mut self,
+        leader: &Leader,
+        shared: &mut Shared,
+        cell: &str,
+        job: &ForwardedJob,
+        accepted: Option<Spec>,
+    ) {
+        let is_due = |creation: &Creation| !creation.in_flight && shared.now >= creation.retry_at;
+        if !self.creations.get(&job.id).is_none_or(is_due) || !self.may_write(shared) {
+            return;
+        }
+        let origin = Origin { cell: cell.to_string(), epoch: job.epoch, done: String::new() };
+        let record = match accepted {
+            Some(spec) => JobRecord::hosted(spec, origin),
+            // Tasks of a tombstone are never counted.
+            None => JobRecord::tombstone(0, origin),
+        };
+        let key = job_key(&job.id);
+        let value = Encoded::new(&record);
+        let txn = Txn {
+            conds: vec![leader.leader_cond(), Cond { key: key.clone(), version: 0 }],
+            changes: vec![Change::Put { key, value, lease: None }],
+        };
+        self.creations.insert(job.id.clone(), Creation { in_flight: true, retry_at: 0 });
+        tracing::info!(job = job.id, cell, state = ?record.state, "job of another cell");
+        let call = CellCall::Create { id: job.id.clone(), record: Box::new(record) };
+        shared.state_call(Purpose::Leader(LeaderCall::Cells(call)), StateOp::Txn(txn));
+    }
+
+    pub(super) fn on_created(
+        &mut self,
+        shared: &mut Shared,
+        id: String,
+        record: JobRecord,
+        result: StateResult,
+    ) {
+        match result {
+            StateResult::Done { revision } => {
+                self.creations.remove(&id);
+                shared.put_job(&id, record, revision, RecordSource::Single);
+            }
+            StateResult::Failed(_) => {
+                self.creations.remove(&id);
+                // There is one already: it is read if it is not in memory.
+                shared.job_slot(&id);
+            }
+            _ => {
+                let retry_at = shared.now + shared.retry_ms(RETRY_MS);
+                self.creations.insert(id, Creation { in_flight: false, retry_at });
+            }
+        }
+    }
+
+    /// Puts a later end of the lease on record, once nothing runs any more that the
+    /// message does not list.
+    fn extend_lease(
+        &mut self,
+        leader: &Leader,
+        shared: &mut Shared,
+        cell: &str,
+        forwarded: &ForwardedState,
+        revision: u64,
+        hosted: &HostedJobs,
+    ) {
+        let (known, version) = shared.cell_leases.get(cell);
+        let is_needed = hosted.iter().any(|(_, listing)| *listing == Listing::Active);
+        let live = HostRecord::Live { done: 0, running: 0 };
+        let may_extend = may_extend_lease(hosted.iter().map(|(_, listing)| (*listing, live)));
+        let is_step = forwarded.lease_until_ms >= known.until_ms + LEASE_STEP_MS;
+        let is_due = self.lease_after.get(cell).is_none_or(|at| shared.now >= *at);
+        if !(is_needed && may_extend && is_step && is_due && shared.can_write(1)) {
+            return;
+        }
+        self.lease_after.insert(cell.to_string(), Ms::MAX);
+        let lease = CellLease { until_ms: forwarded.lease_until_ms, revision };
+        let key = cell_lease_key(cell);
+        let txn = Txn {
+            conds: vec![leader.leader_cond(), Cond { key: key.clone(), version }],
+            changes: vec![Change::Put { key, value: Encoded::new(&lease), lease: None }],
+        };
+        let call = CellCall::Lease { cell: cell.to_string(), lease };
+        shared.state_call(Purpose::Leader(LeaderCall::Cells(call)), StateOp::Txn(txn));
+    }
+
+    pub(super) fn on_lease_written(
+        &mut self,
+        shared: &mut Shared,
+        cell: String,
+        lease: CellLease,
+        result: StateResult,
+    ) {
+        if let StateResult::Done { revision } = result {
+            shared.cell_leases.put(&cell, lease, revision);
+            self.lease_after.remove(&cell);
+        } else {
+            let pause = shared.retry_ms(RETRY_MS);
+            self.lease_after.insert(cell, shared.now + pause);
+        }
+    }
+}
+
+/// Leaves out what would make a message too long.
+fn limit_done(report: HostedJob, bytes_left: &mut usize) -> HostedJob {
+    match bytes_left.checked_sub(report.done.len()) {
+        Some(left) => {
+            *bytes_left = left;
+            report
+        }
+        None => HostedJob { done: String::new(), ..report },
+    }
+}
+
+/// Tasks that run here, by job.
+fn running_by_job(leader: &Leader) -> FxHashMap<u32, u32> {
+    let mut running: FxHashMap<u32, u32> = FxHashMap::default();
+    for attempt in leader.attempts.values().filter(|a| a.state == ReportedPhase::Running) {
+        *running.entry(attempt.job).or_default() += 1;
+    }
+    running
+}
+
+/// The live jobs that this cell hosts for another, and how its newest message lists them.
+fn list_hosted(
+    leader: &Leader,
+    shared: &Shared,
+    cell: &str,
+    forwarded: &ForwardedState,
+    revision: u64,
+) -> HostedJobs {
+    let listed: HashMap<&str, &ForwardedJob> =
+        forwarded.jobs.iter().map(|job| (job.id.as_str(), job)).collect();
+    let mut hosted = Vec::new();
+    for (index, job) in &leader.jobs {
+        if !matches!(job.standing, CellStanding::Hosted { .. }) {
+            continue;
+        }
+        let Some(origin) = shared.job(*index).origin().filter(|o| o.cell == cell) else {
+            continue;
+        };
+        let entry = listed.get(shared.jobs.id(*index)).filter(|entry| entry.epoch == origin.epoch);
+        let listing = match entry {
+            Some(entry) if entry.is_recalled => Listing::Recalled,
+            Some(_) => Listing::Active,
+            // The message may be older than the forwarding: the next one will tell.
+            None if origin.epoch >= revision => continue,
+            None => Listing::Absent,
+        };
+        hosted.push((*index, listing));
+    }
+    hosted
+}
+
+/// What the record here says of a job that another cell lists.
+fn host_record(
+    leader: &Leader,
+    shared: &Shared,
+    cell: &str,
+    job: &ForwardedJob,
+    running: &FxHashMap<u32, u32>,
+) -> HostRecord {
+    let Some(index) = shared.job_ix(&job.id) else { return HostRecord::Unknown };
+    let known = shared.job(index);
+    let is_it = |origin: &Origin| origin.cell == cell && origin.epoch == job.epoch;
+    if !known.origin().is_some_and(is_it) {
+        return HostRecord::Foreign;
+    }
+    match known.state {
+        JobState::Live => HostRecord::Live {
+            done: leader.jobs.get(&index).map_or(0, |live| live.done.len()),
+            running: running.get(&index).copied().unwrap_or(0),
+        },
+        JobState::Done => HostRecord::Done,
+        JobState::Cancelled => HostRecord::Withdrawn { has_attempts: leader.attempts.has_job(index) },
+    }
+}
+
+/// The tasks of a hosted job that are done, as hexadecimal bits.
+fn done_bits(leader: &Leader, shared: &Shared, id: &str, record: HostRecord) -> String {
+    let Some(index) = shared.job_ix(id) else { return String::new() };
+    match record {
+        HostRecord::Live { .. } => {
+            leader.jobs.get(&index).map(|job| job.done.to_hex(0, usize::MAX)).unwrap_or_default()
+        }
+        HostRecord::Withdrawn { .. } => {
+            shared.job(index).origin().map(|origin| origin.done.clone()).unwrap_or_default()
+        }
+        _ => String::new(),
+    }
+}
--- /dev/null
+++ b/src/core/leader/cells/mod.rs
@@ -0,0 +1,210 @@
+//! Cells that share load: the leader's side of `crates/cells`.
+//!
+//! The decisions are made there; here they meet the records, the scheduler and the other
+//! cells. [`origin`] forwards jobs of this cell and takes them back, [`host`] runs those of
+//! other cells, [`capacity`] says what this cell has room for. See docs/cells.md.
+
+mod capacity;
+mod host;
+mod origin;
+
+use super::{Leader, LeaderCall};
+use crate::core::common::model::{Ms, Res};
+use crate::core::common::shared::{Pace, RecordSource, Shared};
+use crate::core::common::sync::job_key;
+use crate::core::{Purpose, StateOp, StateResult};
+use crate::wire::encoded::Encoded;
+use crate::wire::state::{Change, Cond, JobRecord, Txn};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, HashMap};
+use woadlever_cells::message::{CellMessage, HostedJob, HostedState};
+use woadlever_cells::neighbor::Neighbor;
+use woadlever_cells::record::CellLease;
+use woadlever_cells::routing::ClassCapacity;
+
+/// Pause between two looks at what is to be done.
+const STEP_GAP_MS: Ms = 250;
+/// Pause between two messages to the other cells.
+const SEND_GAP_MS: Ms = 500;
+/// The same where load is not shared: jobs may be left that were forwarded before.
+const IDLE_STEP_GAP_MS: Ms = 2_000;
+/// Share of the state service's changes that moving jobs between cells may take.
+const WRITE_SHARE: f64 = 0.2;
+const RETRY_MS: Ms = 500;
+
+/// What a call to the state service was for.
+#[derive(Debug)]
+pub enum CellCall {
+    /// A job begins to be forwarded.
+    Forward { job: u32 },
+    /// A change of a job's record after that.
+    Change { job: u32, record: Box<JobRecord> },
+    /// The first record of another cell's job: accepted, or a tombstone.
+    Create { id: String, record: Box<JobRecord> },
+    /// The lease of another cell.
+    Lease { cell: String, lease: CellLease },
+}
+
+/// The first record of another cell's job, on its way.
+#[derive(Debug, Default)]
+struct Creation {
+    in_flight: bool,
+    retry_at: Ms,
+}
+
+/// What the leader knows of other cells and of the jobs that move between them.
+pub struct Cells {
+    neighbors: BTreeMap<String, Neighbor>,
+    step_at: Ms,
+    send_at: Ms,
+    pace: Pace,
+    /// Jobs whose forwarding is not settled; none of their tasks may be granted.
+    pending: FxHashMap<u32, origin::PendingForward>,
+    /// Since when a forwarded job has been as it is.
+    observed: FxHashMap<u32, origin::Observed>,
+    /// When the record of a job may be changed again; at the end of time while a change
+    /// is on its way.
+    change_after: FxHashMap<u32, Ms>,
+    creations: HashMap<String, Creation>,
+    lease_after: HashMap<String, Ms>,
+    /// What each cell is told of its jobs.
+    hosted: HashMap<String, Vec<HostedJob>>,
+    capacity: Vec<ClassCapacity>,
+    /// Use per team when the room was counted.
+    team_use: Vec<Res>,
+    capacity_at: Ms,
+}
+
+impl Cells {
+    /// Nothing is known yet. If load is not shared there are no other cells.
+    pub fn new(shared: &Shared) -> Cells {
+        let settings = &shared.op.cells;
+        let rate = shared.cfg.cluster.state.write_rps * WRITE_SHARE;
+        let neighbors = settings.neighbors.iter().filter(|_| settings.enabled);
+        Cells {
+            neighbors: neighbors.map(|n| (n.name.clone(), Neighbor::new(shared.now))).collect(),
+            step_at: 0,
+            send_at: 0,
+            pace: Pace::new(rate, rate.max(1.0), shared.now),
+            pending: FxHashMap::default(),
+            observed: FxHashMap::default(),
+            change_after: FxHashMap::default(),
+            creations: HashMap::new(),
+            lease_after: HashMap::new(),
+            hosted: HashMap::new(),
+            capacity: Vec::new(),
+            team_use: Vec::new(),
+            capacity_at: 0,
+        }
+    }
+
+    /// Whether a change may be written now; if so, it is counted.
+    fn may_write(&mut self, shared: &mut Shared) -> bool {
+        let may = shared.can_write(1) && self.pace.has(shared.now, 1.0);
+        if may {
+            self.pace.take(shared.now, 1.0);
+        }
+        may
+    }
+
+    /// Changes the record of a job, under its version and this leader's term.
+    fn change_record(&mut self, leader: &Leader, shared: &mut Shared, job: u32, record: JobRecord) {
+        let due = self.change_after.get(&job).is_none_or(|at| shared.now >= *at);
+        if !due || !shared.can_write(1) {
+            return;
+        }
+        self.change_after.insert(job, Ms::MAX);
+        let txn = record_change(leader, shared, job, &record);
+        let call = CellCall::Change { job, record: Box::new(record) };
+        shared.state_call(Purpose::Leader(LeaderCall::Cells(call)), StateOp::Txn(txn));
+    }
+
+    fn on_changed(&mut self, shared: &mut Shared, job: u32, record: JobRecord, result: StateResult) {
+        if let StateResult::Done { revision } = result {
+            self.change_after.remove(&job);
+            let id = shared.jobs.id(job).to_string();
+            shared.put_job(&id, record, revision, RecordSource::Single);
+        } else {
+            let pause = shared.retry_ms(RETRY_MS);
+            self.change_after.insert(job, shared.now + pause);
+        }
+    }
+
+    /// What is done only while load is shared.
+    fn share_load(&mut self, leader: &mut Leader, shared: &mut Shared) {
+        if shared.now >= self.capacity_at {
+            self.refresh_capacity(leader, shared);
+            self.spill(leader, shared);
+        }
+        self.follow_hosted(leader, shared);
+        self.send(leader, shared);
+    }
+
+    /// Sends the whole state to each other cell.
+    fn send(&mut self, leader: &Leader, shared: &mut Shared) {
+        let Some(revision) = shared.watched_revision else { return };
+        if shared.now < self.send_at {
+            return;
+        }
+        self.send_at = shared.now + SEND_GAP_MS;
+        for cell in self.neighbors.keys().cloned().collect::<Vec<_>>() {
+            let jobs = self.hosted.get(&cell).cloned().unwrap_or_default();
+            let stop_within_ms = shared.cell_leases.timing().stop_within_ms();
+            let capacity = self.capacity.clone();
+            let message = CellMessage {
+                cell: shared.op.cells.name.clone(),
+                term: leader.term,
+                revision,
+                forwarded: self.forwarded_state(leader, shared, &cell),
+                hosted: HostedState { stop_within_ms, capacity, jobs },
+            };
+            shared.send_cell(&cell, message);
+        }
+    }
+}
+
+/// A change of a job's record that holds only for the version that is known here.
+fn record_change(leader: &Leader, shared: &Shared, job: u32, record: &JobRecord) -> Txn {
+    let key = job_key(shared.jobs.id(job));
+    let version = shared.job(job).version;
+    Txn {
+        conds: vec![leader.leader_cond(), Cond { key: key.clone(), version }],
+        changes: vec![Change::Put { key, value: Encoded::new(record), lease: None }],
+    }
+}
+
+impl Leader {
+    pub(super) fn cells_poll(&mut self, shared: &mut Shared) {
+        let Some(mut cells) = self.cells.take() else { return };
+        if shared.now >= cells.step_at {
+            let is_shared = shared.op.cells.enabled;
+            let gap = if is_shared { STEP_GAP_MS } else { IDLE_STEP_GAP_MS };
+            cells.step_at = shared.now + shared.widened(gap, self.jobs.len());
+            cells.follow_pending(self, shared);
+            cells.follow_forwarded(self, shared);
+            cells.abandon(self, shared);
+            if is_shared {
+                cells.share_load(self, shared);
+            }
+        }
+        self.cells = Some(cells);
+    }
+
+    /// Takes in the message of another cell.
+    pub fn on_cell_message(&mut self, shared: &mut Shared, message: CellMessage) {
+        let Some(mut cells) = self.cells.take().filter(|_| self.active) else { return };
+        cells.receive(self, shared, message);
+        self.cells = Some(cells);
+    }
+
+    pub(super) fn on_cell_result(&mut self, shared: &mut Shared, call: CellCall, result: StateResult) {
+        let Some(mut cells) = self.cells.take() else { return };
+        match call {
+            CellCall::Forward { job } => cells.on_forwarded(shared, job, result),
+            CellCall::Change { job, record } => cells.on_changed(shared, job, *record, result),
+            CellCall::Create { id, record } => cells.on_created(shared, id, *record, result),
+            CellCall::Lease { cell, lease } => cells.on_lease_written(shared, cell, lease, result),
+        }
+        self.cells = Some(cells);
+    }
+}
--- a/src/core/leader/grants.rs
+++ b/src/core/leader/grants.rs
@@ -152,11 +152,14 @@
 
     /// Jobs with something to run, most pressing first.
     pub fn order(&mut self, shared: &Shared) -> Vec<u32> {
-        let mut by_age: Vec<(u64, u32)> = self.jobs.iter().map(|(ix, j)| (j.ready_ms, *ix)).collect();
+        let here = self.jobs.iter().filter(|(_, j)| !j.is_away());
+        // Jobs of other cells come after a team's own.
+        let mut by_age: Vec<(bool, u64, u32)> =
+            here.map(|(ix, j)| (j.is_hosted(), j.ready_ms, *ix)).collect();
         by_age.sort_unstable();
         let mut sums = vec![Res::default(); shared.cfg.cluster.teams.len()];
         let mut within: FxHashMap<u32, bool> = FxHashMap::default();
-        for (_, ix) in by_age {
+        for (_, _, ix) in by_age {
             let j = &self.jobs[&ix];
             let t = &shared.cfg.cluster.teams[j.team];
             let mut need = j.spec.need();
@@ -172,7 +175,7 @@
         let mut list: Vec<(JobOrder, u32)> = Vec::new();
         let wall = shared.wall;
         for (ix, j) in &mut self.jobs {
-            if j.hold_until > now || j.peek().is_none() {
+            if j.hold_until > now || !j.may_be_granted() || shared.must_stop(*ix) || j.peek().is_none() {
                 continue;
             }
             let ratio = self.ratios.get(&j.spec.class).copied().unwrap_or(1.0);
--- a/src/core/leader/live_jobs.rs
+++ b/src/core/leader/live_jobs.rs
@@ -3,6 +3,7 @@
 use super::Leader;
 use super::attempts::LeaderAttempt;
 use super::progress::Chunk;
+use crate::core::common::job_table::Job;
 use crate::core::common::model::{Ms, Priority, Spec, TaskSet};
 use crate::core::common::shared::Shared;
 use crate::wire::peer::ReportedPhase;
@@ -11,6 +12,20 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+/// Which cell runs a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CellStanding {
+    /// This one, whose job it is.
+    Local,
+    /// Another one; so many of its tasks run there.
+    Away { running: u32 },
+    /// This one, for the cell that it belongs to.
+    Hosted {
+        /// The newest message of that cell lists it.
+        is_listed: bool,
+    },
+}
+
 #[derive(Debug)]
 pub struct LiveJob {
     pub spec: Arc<Spec>,
@@ -39,6 +54,8 @@
     pub priority: Priority,
     pub(super) finish_busy: bool,
     pub(super) finish_at: Ms,
+    /// Which cell runs it.
+    pub standing: CellStanding,
 }
 
 impl LiveJob {
@@ -63,6 +80,7 @@
             priority: spec.priority,
             finish_busy: false,
             finish_at: 0,
+            standing: CellStanding::Local,
             spec,
         }
     }
@@ -74,6 +92,54 @@
         self.chunks.insert(chunk, Some(version));
     }
 
+    /// Whether only another cell may run it.
+    pub fn is_away(&self) -> bool {
+        matches!(self.standing, CellStanding::Away { .. })
+    }
+
+    /// Whether it belongs to another cell.
+    pub fn is_hosted(&self) -> bool {
+        matches!(self.standing, CellStanding::Hosted { .. })
+    }
+
+    /// Whether tasks may be granted as far as other cells are concerned.
+    pub fn may_be_granted(&self) -> bool {
+        matches!(self.standing, CellStanding::Local | CellStanding::Hosted { is_listed: true })
+    }
+
+    /// Follows the job's record.
+    fn follow_standing(&mut self, job: &Job) {
+        self.standing = match (job.is_away(), job.origin(), self.standing) {
+            (true, _, CellStanding::Away { running }) => CellStanding::Away { running },
+            (true, _, _) => CellStanding::Away { running: 0 },
+            (false, Some(_), CellStanding::Hosted { is_listed }) => CellStanding::Hosted { is_listed },
+            (false, Some(_), _) => CellStanding::Hosted { is_listed: false },
+            (false, None, _) => CellStanding::Local,
+        };
+    }
+
+    /// Takes in tasks that are done in another cell, as hexadecimal bits.
+    pub(super) fn take_done_elsewhere(&mut self, bits: &str) {
+        let mut done = TaskSet::with_room(self.spec.tasks);
+        done.add_hex(0, bits);
+        for task in (0..self.spec.tasks).filter(|task| done.contains(*task)) {
+            self.finish_task(task);
+        }
+    }
+
+    /// All tasks are done in another cell.
+    pub(super) fn take_all_done_elsewhere(&mut self) {
+        for task in 0..self.spec.tasks {
+            self.finish_task(task);
+        }
+    }
+
+    fn finish_task(&mut self, task: u32) {
+        if self.done.insert(task) {
+            self.unrecorded.push(task);
+        }
+    }
+
     /// The next task that needs an attempt.
     pub fn peek(&mut self) -> Option<u32> {
         while let Some(&t) = self.retry.last() {
@@ -151,15 +217,19 @@
         }
         // Not all that it awaits is on record as done: it takes no part in
         // anything, and no task of it may start. Once all is, that is final.
-        if job.links.open > 0 || self.jobs.contains_key(&ix) {
+        if job.links.open > 0 {
             return;
         }
+        if let Some(known) = self.jobs.get_mut(&ix) {
+            return known.follow_standing(job);
+        }
         let Some(spec) = job.spec.clone() else { return };
         let Some(team) = shared.cfg.cluster.teams.iter().position(|t| t.name == spec.team) else {
             tracing::error!(id, "accepted job of an unknown team");
             return;
         };
         let mut j = LiveJob::new(spec, team, shared.ready_ms(ix));
+        j.follow_standing(job);
         for (chunk, bits, version) in self.progress.remove(&id).unwrap_or_default() {
             j.read_chunk(chunk, &bits, version);
         }
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod blocks;
+mod cells;
 mod fleet;
 pub mod forecast;
 mod grants;
@@ -24,6 +25,7 @@
 use crate::wire::state::{Cond, JobRecord};
 use attempts::Attempts;
 use blocks::LeaderBlock;
+use cells::{CellCall, Cells};
 use fleet::Fleet;
 use forecast::History;
 use live_jobs::LiveJob;
@@ -46,6 +48,7 @@
     Finish { job: u32, done_ms: u64, dropped: Vec<Chunk> },
     Forget { keys: Vec<String> },
     Cascade { list: Vec<u32> },
+    Cells(CellCall),
     SaveFleet,
     SaveCatalog,
 }
@@ -100,6 +103,8 @@
     /// The state service has shown that it takes no more than the next limits.
     pub(super) fine: bool,
     pub(super) cascade: Cascade,
+    /// Other cells that share load; none only while they are at work.
+    pub(super) cells: Option<Box<Cells>>,
 }
 
 impl Leader {
@@ -144,6 +149,7 @@
             trash: Trash::default(),
             fine: false,
             cascade: Cascade::default(),
+            cells: Some(Box::new(Cells::new(shared))),
         }
     }
 
@@ -167,6 +173,7 @@
         self.poll_at = shared.now + POLL_GAP_MS;
         self.follow_jobs(shared);
         self.cascade_due(shared);
+        self.cells_poll(shared);
         self.fleet_poll(shared);
         // What a scheduling cycle costs grows with what it has to look at.
         let gap = if self.cycle_due {
@@ -210,6 +217,7 @@
                     j.finish_at = shared.now + shared.retry_ms(250);
                 }
             }
+            LeaderCall::Cells(call) => self.on_cell_result(shared, call, result),
             LeaderCall::Cascade { list } => self.on_cascaded(shared, list, result),
             LeaderCall::SaveFleet => self.fleet.saved(matches!(result, StateResult::Done { .. })),
             LeaderCall::SaveCatalog => {
--- a/src/core/leader/plan.rs
+++ b/src/core/leader/plan.rs
@@ -108,7 +108,7 @@
     }
 
     /// Rooms that are free, booting or asked for.
-    fn rooms_to_come(&self, shared: &Shared) -> Rooms {
+    pub(super) fn rooms_to_come(&self, shared: &Shared) -> Rooms {
         let mut rooms = self.rooms(shared);
         for (ix, m) in self.fleet.machines.iter().filter(|(_, m)| m.phase == Phase::Booting) {
             if let Some(t) = shared.types.get(m.kind) {
--- a/src/core/leader/progress.rs
+++ b/src/core/leader/progress.rs
@@ -243,7 +243,8 @@
         let Some(j) = self.jobs.get(&ix) else { return };
         let id = shared.jobs.id(ix).to_string();
         let key = job_key(&id);
-        let rec = JobRecord::done(j.spec.tasks, shared.wall);
+        let origin = shared.job(ix).origin().cloned();
+        let rec = JobRecord::done(j.spec.tasks, shared.wall).with_origin(origin);
         let mut changes = vec![Change::Put { key: key.clone(), value: Encoded::new(&rec), lease: None }];
         // What does not go along here goes later.
         let dropped: Vec<Chunk> =
--- a/src/core/leader/rebuild.rs
+++ b/src/core/leader/rebuild.rs
@@ -64,7 +64,7 @@
     pub(super) fn settle_inherited(&mut self) {
         self.attempts.drop_superseded();
         for a in self.attempts.values_mut() {
-            let job = self.jobs.get_mut(&a.job);
+            let job = self.jobs.get_mut(&a.job).filter(|job| !job.is_away());
             let is_done = job.as_ref().is_some_and(|job| job.done.contains(a.task));
             a.want = ledger::from_record(job.is_some(), is_done) == Standing::Keep;
             if let Some(job) = job {
--- a/src/core/leader/reconciliation.rs
+++ b/src/core/leader/reconciliation.rs
@@ -3,6 +3,7 @@
 
 use super::Leader;
 use super::attempts::LeaderAttempt;
+use super::live_jobs::CellStanding;
 use crate::core::common::model::{Ms, Res};
 use crate::core::common::shared::Shared;
 use crate::wire::peer::{
@@ -94,7 +95,7 @@
             // Bound for an earlier leader, and not in the records that we
             // read: gone already, or known under a newer attempt.
             let has_attempt = self.attempts.has_task(job, t.task);
-            let known = self.jobs.get(&job);
+            let known = self.jobs.get(&job).filter(|known| !known.is_away());
             let is_done = known.is_some_and(|j| j.done.contains(t.task));
             let standing = ledger::from_holder(known.is_some(), is_done, has_attempt);
             let want = standing == Standing::Keep;
@@ -250,7 +251,8 @@
             .jobs
             .iter()
             .map(|(ix, j)| {
-                let n = running.get(ix).copied().unwrap_or(0);
+                let here = running.get(ix).copied().unwrap_or(0);
+                let n = if let CellStanding::Away { running } = j.standing { running } else { here };
                 (shared.jobs.id(*ix).to_string(), j.done.len(), n)
             })
             .filter(|(_, d, r)| *d > 0 || *r > 0)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,6 +21,7 @@
 use common::shared::Shared;
 use common::{lookups, sync, term};
 use std::sync::Arc;
+use woadlever_cells::message::CellMessage;
 
 /// What happens to the core.
 #[derive(Debug)]
@@ -50,6 +51,8 @@
     },
     /// A frame of another node has arrived.
     Frame(Frame),
+    /// A message of another cell has arrived.
+    Cell(Box<CellMessage>),
 }
 
 /// A request of a user, a worker or the load balancer.
@@ -106,6 +109,13 @@
         /// What it is to do.
         commands: DirectCommands,
     },
+    /// Send a message to all controllers of another cell.
+    SendCell {
+        /// Name of the cell.
+        cell: String,
+        /// The message.
+        message: Box<CellMessage>,
+    },
     /// The connection to this node may lead to a process that is no more.
     Reconnect {
         /// Name of the node.
@@ -302,6 +312,11 @@
                 }
             }
             Input::Frame(f) => self.frame(f),
+            Input::Cell(message) => {
+                if let Some(l) = &mut self.leader {
+                    l.on_cell_message(&mut self.shared, *message);
+                }
+            }
         }
         self.settle();
         std::mem::take(&mut self.shared.out)
--- a/src/core/user_api.rs
+++ b/src/core/user_api.rs
@@ -12,6 +12,7 @@
 //! no answer. Where one before is withdrawn, the job's own withdrawal is written
 //! before the answer, so that no other node calls it live later.
 
+use super::common::feasibility::can_run;
 use super::common::model::Spec;
 use super::common::shared::{RecordSource, Shared};
 use super::common::sync::job_key;
@@ -105,7 +106,7 @@
                 if !shared.synced {
                     return shared.busy(req, "not yet in touch with the state service");
                 }
-                if let Some(state) = shared.job_ix(&id).map(|ix| shared.job(ix).state)
+                if let Some(state) = own_job(shared, &id).map(|ix| shared.job(ix).state)
                     && state != JobState::Live
                 {
                     return answer_state(shared, req, 200, &id, state);
@@ -114,6 +115,9 @@
                 return self.read(shared, id, Then::Refuse(req, no));
             }
         };
+        if is_hosted(shared, &id) {
+            return refuse_taken(shared, req);
+        }
         // An accepted job stays accepted, whatever a later body says and
         // whatever has become of the limits.
         if let Some(ix) = shared.job_ix(&id) {
@@ -144,7 +148,7 @@
     /// Looks up the next awaited job that is not known yet. That one is unknown
     /// is said only on a read begun after the request: the watch lags.
     fn check_awaited(&mut self, shared: &mut Shared, check: Check) {
-        match check.awaits.iter().find(|id| shared.job_ix(id).is_none()).cloned() {
+        match check.awaits.iter().find(|id| own_job(shared, id).is_none()).cloned() {
             None => self.create(shared, check),
             Some(unknown) => {
                 self.next_check += 1;
@@ -180,7 +184,7 @@
     }
 
     pub fn status(&mut self, shared: &mut Shared, req: u64, id: &str) {
-        if !valid_id(id) {
+        if !valid_id(id) || is_hosted(shared, id) {
             return shared.refuse(req, 404, "no such job", None);
         }
         if let Some(ix) = shared.job_ix(id) {
@@ -193,7 +197,7 @@
     }
 
     pub fn cancel(&mut self, shared: &mut Shared, req: u64, id: &str) {
-        if !valid_id(id) {
+        if !valid_id(id) || is_hosted(shared, id) {
             return shared.refuse(req, 404, "no such job", None);
         }
         if let Some(ix) = shared.job_ix(id) {
@@ -344,6 +348,11 @@
         let found = found.and_then(|(state, version, rec)| {
             shared.put_job(&id, rec, version, RecordSource::Single).then_some((state, version))
         });
+        // To the users of this cell, the job of another is none.
+        let (found, result) = match is_hosted(shared, &id) {
+            true => (None, StateResult::Missing),
+            false => (found, result),
+        };
         // Another read of it may begin from here on.
         let next = std::mem::take(&mut read.next);
         if !next.is_empty() {
@@ -373,6 +382,9 @@
                     let Some(check) = self.checks.remove(&n) else { continue };
                     self.on_awaited(shared, check, &id, found.is_some(), &result);
                 }
+                (Then::Resubmit(req), None, StateResult::Missing) if is_hosted(shared, &id) => {
+                    refuse_taken(shared, req);
+                }
                 (Then::Refuse(req, no), None, StateResult::Missing) => {
                     tracing::debug!(id, why = no.why, "submission refused");
                     shared.refuse(req, no.status, &no.why, no.field);
@@ -409,6 +421,22 @@
     }
 }
 
+/// Whether another cell's job, or what is left of it, has this id here.
+fn is_hosted(shared: &Shared, id: &str) -> bool {
+    shared.job_ix(id).is_some_and(|ix| shared.job(ix).origin().is_some())
+}
+
+/// A job of this cell's users that is in memory.
+fn own_job(shared: &Shared, id: &str) -> Option<u32> {
+    shared.job_ix(id).filter(|ix| shared.job(*ix).origin().is_none())
+}
+
+/// Cells that share load share one space of ids; a job of another cell is not accepted
+/// here as well.
+fn refuse_taken(shared: &mut Shared, req: u64) {
+    shared.refuse(req, 422, "the id belongs to a job of another cell", Some("name_id"));
+}
+
 fn answer_state(shared: &mut Shared, req: u64, status: u16, id: &str, state: JobState) {
     let (done, running) = shared.counts.get(id).copied().unwrap_or((0, 0));
     let tasks = shared.job_ix(id).map(|ix| shared.job(ix).tasks);
@@ -458,23 +486,3 @@
     }
     Ok(awaits)
 }
-
-/// Whether the job could ever run; if not, why.
-fn can_run(shared: &Shared, spec: &Spec) -> Result<(), String> {
-    let Some(team) = shared.cfg.cluster.teams.iter().find(|t| t.name == spec.team) else {
-        return Err(format!("unknown team {}", spec.team));
-    };
-    if spec.cpus > team.cpus_max || spec.gpus > team.gpus_max {
-        return Err("a task needs more than the team's limit".into());
-    }
-    let need = spec.need();
-    let fits = shared.types.iter().any(|t| {
-        spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
-            && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
-            && need.fits(&t.room)
-    });
-    if !fits {
-        return Err("a task fits no allowed machine type".into());
-    }
-    Ok(())
-}
--- a/src/io/driver.rs
+++ b/src/io/driver.rs
@@ -3,24 +3,29 @@
 use super::client::Client;
 use super::gate::{self, Pressure};
 use super::requests::Requests;
-use super::{cloud, peers, server, state};
-use crate::config::{Operator, Platform};
+use super::{cloud, frames, server, state};
+use crate::config::{CellSettings, Operator, Platform};
 use crate::core::{Answer, Core, Input, Output};
+use crate::wire::peer::Frame;
 use crate::wire::workers::DirectCommands;
 use rand::{Rng, RngExt};
 use salvo::prelude::*;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::mpsc::{UnboundedSender, channel, unbounded_channel};
+use tokio::sync::mpsc::{Receiver, Sender, UnboundedSender, channel, unbounded_channel};
 use tokio::sync::oneshot;
+use woadlever_cells::message::CellMessage;
 
 /// Steady ticks; everything in the core that waits for a time waits for one. Waking
 /// up for them is a fixed cost: on a small share of a core they come half as often,
 /// and only where no input did.
 const TICK: Duration = Duration::from_millis(25);
 const SMALL_SHARE: f64 = 0.04;
+/// Connections taken from other nodes at once, old ones that hang included.
+const MOST_PEER_CONNECTIONS: usize = 24;
 /// Requests that the HTTP server has read and the driver has not taken yet.
 const WAITING_REQUESTS: usize = 256;
 
@@ -52,39 +57,25 @@
         .map_err(|e| bad(&format!("internal_addr {}", cfg.peer_listen), e))?;
 
     let (in_tx, mut in_rx) = unbounded_channel::<Input>();
-    let (frame_tx, mut frame_rx) = channel(peers::RECEIVED);
+    let (frame_tx, mut frame_rx) = channel(frames::RECEIVED);
+    let mut cell_rx = listen_to_cells(&cfg, &core.shared.op.cells).await?;
     let (http_tx, http_rx) = channel::<server::Asked>(WAITING_REQUESTS);
-    tokio::task::spawn_local(peers::listen(peer_listener, frame_tx));
+    tokio::task::spawn_local(frames::listen(peer_listener, frame_tx, MOST_PEER_CONNECTIONS));
     // Our own calls and the other nodes must find a socket whatever users do.
     let limit = cfg.cluster.limits.max_connections;
     let users = limit - (limit / 6).clamp(16, 160);
     let overload = &core.shared.op.overload;
     let pressure = overload.enabled.then(|| Pressure::new(overload, cfg.cluster.limits.cpu));
-    let mut requests = match &pressure {
-        Some(pressure) => {
-            let acceptor = gate::bind(cfg.listen, users, pressure.clone())
-                .map_err(|e| format!("bind {}: {e}", cfg.listen))?;
-            tokio::task::spawn_local(Server::new(acceptor).serve(server::service(http_tx)));
-            Requests::by_importance(http_rx, overload.queue, pressure.clone())
-        }
-        None => {
-            let acceptor = salvo::conn::TcpListener::new(cfg.listen)
-                .try_bind()
-                .await
-                .map_err(|e| format!("bind {}: {e}", cfg.listen))?;
-            let front = Server::new(acceptor).max_connections(users);
-            tokio::task::spawn_local(front.serve(server::service(http_tx)));
-            Requests::in_order(http_rx)
-        }
-    };
+    let mut requests = serve(&cfg, overload.queue, users, pressure.clone(), (http_tx, http_rx)).await?;
 
-    let links: HashMap<String, tokio::sync::mpsc::Sender<_>> =
-        cfg.peers.iter().map(|p| (p.node.clone(), peers::link(p.addr))).collect();
+    let links: HashMap<String, Link<Frame>> =
+        cfg.peers.iter().map(|p| (p.node.clone(), frames::link(p.addr))).collect();
     let most = (cfg.cluster.limits.max_connections / 8).clamp(8, 64);
     let io = Io {
         state: Client::new(cfg.endpoints.state, 8, most),
         cloud: Client::new(cfg.endpoints.cloud, 2, 8),
         links,
+        cells: cell_links(&core.shared.op.cells),
         tx: in_tx,
         direct: Rc::new(()),
         most_direct: (limit / 32).clamp(8, 64),
@@ -109,6 +100,7 @@
             biased;
             Some(i) = in_rx.recv() => i,
             Some(frame) = frame_rx.recv() => Input::Frame(frame),
+            Some(message) = cell_rx.recv() => Input::Cell(Box::new(message)),
             Some((call, tx)) = requests.next() => {
                 let req = next_req;
                 next_req += 1;
@@ -133,10 +125,66 @@
     }
 }
 
+type Link<T> = Sender<frames::Post<T>>;
+
+/// Starts the outer HTTP server, with room for `users` connections; what it reads comes
+/// out of the result.
+async fn serve(
+    cfg: &Platform,
+    queue: usize,
+    users: usize,
+    pressure: Option<Arc<Pressure>>,
+    (http_tx, http_rx): (Sender<server::Asked>, Receiver<server::Asked>),
+) -> Result<Requests, String> {
+    let failed = |e: &dyn std::fmt::Display| format!("bind {}: {e}", cfg.listen);
+    match pressure {
+        Some(pressure) => {
+            let acceptor = gate::bind(cfg.listen, users, pressure.clone()).map_err(|e| failed(&e))?;
+            tokio::task::spawn_local(Server::new(acceptor).serve(server::service(http_tx)));
+            Ok(Requests::by_importance(http_rx, queue, pressure))
+        }
+        None => {
+            let listener = salvo::conn::TcpListener::new(cfg.listen);
+            let acceptor = listener.try_bind().await.map_err(|e| failed(&e))?;
+            let front = Server::new(acceptor).max_connections(users);
+            tokio::task::spawn_local(front.serve(server::service(http_tx)));
+            Ok(Requests::in_order(http_rx))
+        }
+    }
+}
+
+/// Takes messages of other cells, if load is shared. Without, none ever come.
+async fn listen_to_cells(
+    cfg: &Platform,
+    settings: &CellSettings,
+) -> Result<Receiver<CellMessage>, String> {
+    let (sender, receiver) = channel(frames::RECEIVED);
+    if settings.enabled {
+        let address = SocketAddr::new(cfg.peer_listen.ip(), settings.listen_port);
+        let listener = tokio::net::TcpListener::bind(address)
+            .await
+            .map_err(|e| format!("[cells] listen_port: {address}: {e}"))?;
+        // Each cell's leader keeps one connection; those of former leaders may linger.
+        let most = 4 * settings.neighbors.len() + MOST_PEER_CONNECTIONS;
+        tokio::task::spawn_local(frames::listen(listener, sender, most));
+    }
+    Ok(receiver)
+}
+
+/// Links to all controllers of the other cells, if load is shared.
+fn cell_links(settings: &CellSettings) -> HashMap<String, Vec<Link<CellMessage>>> {
+    let neighbors = settings.neighbors.iter().filter(|_| settings.enabled);
+    neighbors
+        .map(|cell| (cell.name.clone(), cell.controllers.iter().copied().map(frames::link).collect()))
+        .collect()
+}
+
 struct Io {
     state: Client,
     cloud: Client,
-    links: HashMap<String, tokio::sync::mpsc::Sender<peers::Post>>,
+    links: HashMap<String, Link<Frame>>,
+    /// To the controllers of each other cell.
+    cells: HashMap<String, Vec<Link<CellMessage>>>,
     tx: UnboundedSender<Input>,
     /// One reference more for each direct command under way.
     direct: Rc<()>,
@@ -178,12 +226,17 @@
             }
             Output::Send { to, frame } => {
                 if let Some(link) = self.links.get(&to) {
-                    let _ = link.try_send(peers::Post::Frame(Box::new(frame)));
+                    let _ = link.try_send(frames::Post::Frame(Box::new(frame)));
+                }
+            }
+            Output::SendCell { cell, message } => {
+                for link in self.cells.get(&cell).into_iter().flatten() {
+                    let _ = link.try_send(frames::Post::Frame(message.clone()));
                 }
             }
             Output::Reconnect { to } => {
                 if let Some(link) = self.links.get(&to) {
-                    let _ = link.try_send(peers::Post::Reconnect);
+                    let _ = link.try_send(frames::Post::Reconnect);
                 }
             }
             Output::Direct { addr, commands } => self.direct(&addr, &commands),
--- a/src/io/peers.rs
+++ b/src/io/frames.rs
@@ -1,6 +1,6 @@
-//! Frames between our own nodes. Each node keeps one connection to each other
-//! node for sending; whatever comes in is handed to the core. What can't be
-//! sent is dropped: the next state message makes it good.
+//! Length-delimited frames over TCP, between the nodes of a cell and between cells. Each
+//! sender keeps one connection to each receiver; whatever comes in is handed to the core.
+//! What can't be sent is dropped: the next state message makes it good.
 
 use crate::wire::peer::{Frame, MAX_FRAME};
 use std::collections::VecDeque;
@@ -11,32 +11,68 @@
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
+use woadlever_cells::message::{CellMessage, VERSION};
 
 const CONNECT: Duration = Duration::from_millis(700);
 const WRITE: Duration = Duration::from_millis(2000);
 const RETRY: Duration = Duration::from_millis(400);
 /// Frames waiting for a slow peer; more are dropped.
 const QUEUE: usize = 64;
-/// Connections taken from peers at once, old ones that hang included.
-const MOST_IN: usize = 24;
 
 /// Frames received that the core has not taken in yet.
 pub const RECEIVED: usize = 128;
 
-pub enum Post {
-    Frame(Box<Frame>),
+/// What is sent as one frame.
+pub trait Payload: Sized + 'static {
+    /// The bytes of the frame.
+    fn encode(&self) -> Vec<u8>;
+
+    /// Reads the bytes of a frame; or why they can't be read. None: to be ignored.
+    fn decode(bytes: &[u8]) -> Result<Option<Self>, String>;
+}
+
+impl Payload for Frame {
+    fn encode(&self) -> Vec<u8> {
+        bitcode::encode(self)
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Option<Frame>, String> {
+        bitcode::decode(bytes).map(Some).map_err(|e| e.to_string())
+    }
+}
+
+/// A message between cells begins with its version, so that cells of different versions
+/// do without each other instead of misreading.
+impl Payload for CellMessage {
+    fn encode(&self) -> Vec<u8> {
+        let mut bytes = VERSION.to_be_bytes().to_vec();
+        bytes.extend_from_slice(&bitcode::encode(self));
+        bytes
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Option<CellMessage>, String> {
+        let Some((version, body)) = bytes.split_first_chunk() else { return Err("too short".into()) };
+        if u16::from_be_bytes(*version) != VERSION {
+            return Ok(None);
+        }
+        bitcode::decode(body).map(Some).map_err(|e| e.to_string())
+    }
+}
+
+pub enum Post<T> {
+    Frame(Box<T>),
     /// Leave the present connection; the next frame opens another.
     Reconnect,
 }
 
 /// The sending side to one peer.
-pub fn link(addr: SocketAddr) -> Sender<Post> {
+pub fn link<T: Payload>(addr: SocketAddr) -> Sender<Post<T>> {
     let (tx, rx) = channel(QUEUE);
     tokio::task::spawn_local(send_all(addr, rx));
     tx
 }
 
-async fn send_all(addr: SocketAddr, mut rx: Receiver<Post>) {
+async fn send_all<T: Payload>(addr: SocketAddr, mut rx: Receiver<Post<T>>) {
     let mut stream: Option<TcpStream> = None;
     let mut retry_at = tokio::time::Instant::now();
     loop {
@@ -69,7 +105,7 @@
                 }
             }
         }
-        let body = bitcode::encode(&*frame);
+        let body = frame.encode();
         if body.len() > MAX_FRAME {
             tracing::error!(bytes = body.len(), "frame too long to send");
             continue;
@@ -100,7 +136,7 @@
 /// Takes connections from peers. A node that stood still finds a row of them
 /// that their senders have long given up; the newest is the one in use, so it
 /// is the oldest that goes when there are too many.
-pub async fn listen(listener: TcpListener, tx: Sender<Frame>) {
+pub async fn listen<T: Payload>(listener: TcpListener, tx: Sender<T>, most: usize) {
     let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -108,7 +144,7 @@
             continue;
         };
         open.retain(|t| !t.is_finished());
-        if open.len() >= MOST_IN
+        if open.len() >= most
             && let Some(oldest) = open.pop_front()
         {
             oldest.abort();
@@ -123,7 +159,7 @@
 }
 
 /// Reads frames until the connection ends or one can't be read.
-async fn receive(mut s: TcpStream, tx: Sender<Frame>) -> Result<(), String> {
+async fn receive<T: Payload>(mut s: TcpStream, tx: Sender<T>) -> Result<(), String> {
     loop {
         // A peer sends a sign of life twice a second; a connection silent for
         // long is a leftover of a cut.
@@ -142,8 +178,9 @@
             Ok(Err(e)) => return Err(e.to_string()),
             Err(_) => return Err("silent within a frame".into()),
         }
-        match bitcode::decode::<Frame>(&buf) {
-            Ok(f) => {
+        match T::decode(&buf) {
+            Ok(None) => tracing::debug!("frame of an unknown version"),
+            Ok(Some(f)) => {
                 // While the core has not taken in what came before, nothing more is
                 // read, and the sender drops what it can't send.
                 if tx.send(f).await.is_err() {
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -3,8 +3,8 @@
 mod client;
 mod cloud;
 pub mod driver;
+mod frames;
 mod gate;
-mod peers;
 mod requests;
 mod server;
 mod state;
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -4,6 +4,7 @@
 use super::users::ID_PREFIX;
 use crate::core::common::model::Spec;
 use serde::{Deserialize, Serialize};
+use woadlever_cells::record::{Forwarding, Origin};
 
 /// A record with its key.
 #[derive(Debug, Clone, Deserialize)]
@@ -180,6 +181,16 @@
     /// the jobs that await it.
     #[serde(rename = "t", default, skip_serializing_if = "is_zero")]
     pub done_ms: u64,
+    /// Where the job has been forwarded to.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub forwarding: Option<Forwarding>,
+    /// The description of a job that another cell hosts: in a field of its own, so that
+    /// a controller that knows nothing of cells finds nothing to start.
+    #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+    away: Option<Spec>,
+    /// The cell that a hosted job belongs to.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<Origin>,
 }
 
 fn is_zero(n: &u64) -> bool {
@@ -192,24 +203,62 @@
         let tasks = spec.tasks;
         let digits: Vec<&str> = awaits.iter().filter_map(|id| id.strip_prefix(ID_PREFIX)).collect();
         let (spec, staged) = if awaits.is_empty() { (Some(spec), None) } else { (None, Some(spec)) };
-        JobRecord { state: JobState::Live, spec, tasks, staged, awaits: digits.join(" "), done_ms: 0 }
+        JobRecord { spec, staged, awaits: digits.join(" "), ..JobRecord::of(JobState::Live, tasks) }
+    }
+
+    /// The record of a live job that is, or was, forwarded to another cell.
+    pub fn forwarded(spec: Spec, awaits: &[String], forwarding: Forwarding) -> JobRecord {
+        let mut record = JobRecord::live(spec, awaits);
+        if forwarding.is_away() {
+            record.away = record.spec.take().or(record.staged.take());
+        }
+        record.forwarding = Some(forwarding);
+        record
+    }
+
+    /// The record, in its host cell, of a live job of another cell.
+    pub fn hosted(spec: Spec, origin: Origin) -> JobRecord {
+        JobRecord::live(spec, &[]).with_origin(Some(origin))
+    }
+
+    /// What a job of another cell leaves in the cell that hosted it, or refused to.
+    pub fn tombstone(tasks: u32, origin: Origin) -> JobRecord {
+        JobRecord::cancelled(tasks).with_origin(Some(origin))
     }
 
     /// The record of a job whose tasks are all done.
     pub fn done(tasks: u32, done_ms: u64) -> JobRecord {
-        JobRecord { state: JobState::Done, done_ms, ..JobRecord::cancelled(tasks) }
+        JobRecord { done_ms, ..JobRecord::of(JobState::Done, tasks) }
+    }
+
+    /// The same record, of a job that belongs to this cell if `origin` is none.
+    pub fn with_origin(self, origin: Option<Origin>) -> JobRecord {
+        JobRecord { origin, ..self }
     }
 
     /// The record of a job that was withdrawn.
     pub fn cancelled(tasks: u32) -> JobRecord {
-        let awaits = String::new();
-        JobRecord { state: JobState::Cancelled, spec: None, tasks, staged: None, awaits, done_ms: 0 }
+        JobRecord::of(JobState::Cancelled, tasks)
+    }
+
+    fn of(state: JobState, tasks: u32) -> JobRecord {
+        JobRecord {
+            state,
+            spec: None,
+            tasks,
+            staged: None,
+            awaits: String::new(),
+            done_ms: 0,
+            forwarding: None,
+            away: None,
+            origin: None,
+        }
     }
 
     /// The description, if the job is live, and the ids of what it awaits.
     pub fn into_parts(self) -> (Option<Spec>, Vec<String>) {
         let ids = self.awaits.split_ascii_whitespace().map(|d| format!("{ID_PREFIX}{d}")).collect();
-        (self.spec.or(self.staged), ids)
+        (self.spec.or(self.staged).or(self.away), ids)
     }
 }
 
--- /dev/null
+++ b/tests/cells.rs
@@ -0,0 +1,310 @@
+//! Cells that share load: a whole job moves to another cell and runs exactly once, through
+//! the loss of controllers, of whole cells and of messages between them.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, reason = "a test fails by panicking")]
+
+mod support;
+
+use support::cells::Cells;
+use support::job;
+
+const ORIGIN: usize = 0;
+const HOST: usize = 1;
+const OTHER: usize = 2;
+const JOB: &str = "run-000001";
+
+/// Cells of which the first can rent nothing.
+fn full_origin(count: usize, seed: u64) -> Cells {
+    let mut cells = Cells::new(count, seed);
+    cells.worlds[ORIGIN].capacity = 0;
+    cells.run(8_000);
+    cells
+}
+
+/// A job of the full cell that has begun to run in another one, whose number is told.
+fn spilled(cells: &mut Cells, tasks: u32, run_s: f64) -> usize {
+    for world in &mut cells.worlds {
+        world.run_ms = (run_s * 1_000.0) as u64;
+    }
+    cells.accept(ORIGIN, &job(1, "t1", tasks, run_s));
+    let runs_elsewhere =
+        |cells: &Cells| (1..cells.worlds.len()).any(|cell| cells.running(cell, JOB) > 0);
+    assert!(cells.until(90_000, runs_elsewhere), "{:?}", cells.record(ORIGIN, JOB));
+    (1..cells.worlds.len()).find(|cell| cells.running(*cell, JOB) > 0).unwrap()
+}
+
+/// Each task was started once in all cells together.
+fn assert_each_task_started_once(cells: &Cells, id: &str, tasks: u32) {
+    let starts: u32 = (0..cells.worlds.len()).map(|cell| cells.starts(cell, id)).sum();
+    assert_eq!(starts, tasks, "starts of {id}");
+}
+
+#[test]
+fn a_job_that_finds_no_room_moves_and_runs_once() {
+    let mut cells = full_origin(2, 1);
+    let host = spilled(&mut cells, 6, 10.0);
+    cells.run(3_000);
+    assert_eq!(cells.status(ORIGIN, JOB), "running");
+    assert_eq!(cells.status(host, JOB), "404", "the host's users know nothing of it");
+    assert!(cells.until_done(ORIGIN, JOB, 120_000));
+    assert_eq!(cells.status(ORIGIN, JOB), "done");
+    assert_eq!(cells.starts(ORIGIN, JOB), 0);
+    assert_each_task_started_once(&cells, JOB, 6);
+    cells.fair();
+}
+
+#[test]
+fn nothing_moves_while_there_is_room_at_home() {
+    let mut cells = Cells::new(2, 2);
+    cells.run(8_000);
+    for id in 1..=4 {
+        cells.accept(ORIGIN, &job(id, "t1", 2, 10.0));
+    }
+    for id in 1..=4 {
+        let id = format!("run-{id:06}");
+        assert!(cells.until_done(ORIGIN, &id, 120_000), "{id}");
+        assert_eq!(cells.starts(HOST, &id), 0, "{id}");
+    }
+    cells.fair();
+}
+
+#[test]
+fn two_cells_offer_room_at_once_and_one_gets_the_job() {
+    for seed in 0..4 {
+        let mut cells = full_origin(3, 30 + seed);
+        let host = spilled(&mut cells, 6, 10.0);
+        let other = if host == HOST { OTHER } else { HOST };
+        assert!(cells.until_done(ORIGIN, JOB, 120_000), "seed {seed}");
+        assert_eq!(cells.starts(other, JOB), 0, "seed {seed}");
+        assert!(cells.record(other, JOB).is_none(), "seed {seed}: the other cell never heard of it");
+        assert_each_task_started_once(&cells, JOB, 6);
+        cells.fair();
+    }
+}
+
+#[test]
+fn all_controllers_of_the_origin_are_lost_and_the_job_goes_on() {
+    for seed in 0..4 {
+        let mut cells = full_origin(2, 40 + seed);
+        spilled(&mut cells, 6, 30.0);
+        cells.crash_cell(ORIGIN, 3_000);
+        assert!(cells.until_done(ORIGIN, JOB, 120_000), "seed {seed}");
+        assert_each_task_started_once(&cells, JOB, 6);
+        cells.fair();
+    }
+}
+
+#[test]
+fn all_controllers_of_the_host_are_lost_and_the_job_goes_on() {
+    for seed in 0..4 {
+        let mut cells = full_origin(2, 50 + seed);
+        let host = spilled(&mut cells, 6, 30.0);
+        cells.crash_cell(host, 3_000);
+        assert!(cells.until_done(ORIGIN, JOB, 120_000), "seed {seed}");
+        assert_each_task_started_once(&cells, JOB, 6);
+        cells.fair();
+    }
+}
+
+#[test]
+fn the_leaders_of_both_cells_are_killed_at_every_step_of_a_move() {
+    // The job is offered about ten seconds after its acceptance; what follows takes some
+    // steps of a quarter of a second each.
+    for step in 0..12 {
+        let mut cells = full_origin(2, 60 + step);
+        cells.worlds[HOST].run_ms = 20_000;
+        cells.accept(ORIGIN, &job(1, "t1", 4, 20.0));
+        cells.until(30_000, |cells| cells.forwarded_to(ORIGIN, JOB).is_some());
+        cells.run(step * 100);
+        for cell in [ORIGIN, HOST] {
+            let leader = cells.worlds[cell].leader().unwrap_or(0);
+            cells.worlds[cell].crash(leader, 500 + step * 300);
+        }
+        assert!(cells.until_done(ORIGIN, JOB, 240_000), "step {step}: {:?}", cells.record(ORIGIN, JOB));
+        assert_each_task_started_once(&cells, JOB, 4);
+        cells.fair();
+    }
+}
+
+#[test]
+fn a_host_that_goes_silent_gives_the_job_up_before_the_origin_runs_it() {
+    for seed in 0..3 {
+        let mut cells = full_origin(2, 80 + seed);
+        let host = spilled(&mut cells, 6, 300.0);
+        // The host goes on inside, workers and all; nobody outside hears of it.
+        cells.part(ORIGIN, host);
+        cells.worlds[ORIGIN].capacity = 12;
+        cells.worlds[ORIGIN].run_ms = 10_000;
+        assert!(cells.until(60_000, |cells| cells.running(host, JOB) == 0), "the lease ends");
+        assert!(cells.until_done(ORIGIN, JOB, 180_000), "seed {seed}");
+        assert_eq!(cells.starts(ORIGIN, JOB), 6, "seed {seed}");
+        let at_host = cells.starts(host, JOB);
+        cells.join();
+        cells.run(60_000);
+        assert_eq!(cells.starts(host, JOB), at_host, "seed {seed}: nothing starts again at the host");
+        assert_eq!(cells.record(host, JOB).unwrap()["s"], "c", "seed {seed}: a tombstone is left");
+        assert_eq!(cells.status(ORIGIN, JOB), "done");
+        cells.fair();
+    }
+}
+
+#[test]
+fn a_host_whose_controllers_are_gone_for_long_gives_the_job_up() {
+    let mut cells = full_origin(2, 90);
+    let host = spilled(&mut cells, 6, 300.0);
+    cells.crash_cell(host, 150_000);
+    cells.worlds[ORIGIN].capacity = 12;
+    cells.worlds[ORIGIN].run_ms = 10_000;
+    assert!(cells.until_done(ORIGIN, JOB, 140_000));
+    cells.run(90_000);
+    assert_eq!(cells.record(host, JOB).unwrap()["s"], "c");
+    assert_eq!(cells.starts(ORIGIN, JOB), 6);
+    cells.fair();
+}
+
+#[test]
+fn tasks_that_were_done_at_the_host_are_not_run_again() {
+    let mut cells = full_origin(2, 100);
+    for world in &mut cells.worlds {
+        world.run_ms = 15_000;
+    }
+    // Room for four tasks of twelve at a time.
+    cells.worlds[HOST].capacity = 1;
+    cells.accept(ORIGIN, &job(1, "t1", 12, 15.0));
+    assert!(cells.until(120_000, |cells| cells.running(HOST, JOB) > 0));
+    let some_done = |cells: &Cells| cells.starts(HOST, JOB) > 4;
+    assert!(cells.until(120_000, some_done));
+    cells.run(1_500);
+    cells.part(ORIGIN, HOST);
+    cells.worlds[ORIGIN].capacity = 12;
+    assert!(cells.until_done(ORIGIN, JOB, 240_000));
+    let at_origin = cells.starts(ORIGIN, JOB);
+    assert!(at_origin <= 8, "{at_origin} of 12 started at the origin, four were done at the host");
+    cells.fair();
+}
+
+#[test]
+fn a_cancellation_reaches_tasks_in_another_cell_in_time_even_if_no_message_does() {
+    for seed in 0..4 {
+        let mut cells = full_origin(2, 110 + seed);
+        let host = spilled(&mut cells, 6, 300.0);
+        if seed % 2 == 1 {
+            cells.part(ORIGIN, host);
+        }
+        if seed / 2 == 1 {
+            // The host's controllers can't write the withdrawal either.
+            cells.worlds[host].state.down = true;
+        }
+        assert!(cells.cancel(ORIGIN, JOB));
+        cells.run(support::CANCEL_MS + 1_000);
+        assert_eq!(cells.running(host, JOB), 0, "seed {seed}");
+        cells.worlds[host].state.down = false;
+        cells.join();
+        cells.run(60_000);
+        assert_eq!(cells.running(host, JOB), 0, "seed {seed}");
+        assert_eq!(cells.status(ORIGIN, JOB), "withdrawn");
+        cells.fair();
+    }
+}
+
+#[test]
+fn a_link_that_fails_one_way_moves_nothing_twice() {
+    for (seed, way) in [(120, (ORIGIN, HOST)), (121, (HOST, ORIGIN))] {
+        let mut cells = full_origin(2, seed);
+        spilled(&mut cells, 6, 40.0);
+        cells.cut.insert(way);
+        cells.worlds[ORIGIN].capacity = 12;
+        assert!(cells.until_done(ORIGIN, JOB, 240_000), "{way:?}");
+        cells.join();
+        cells.run(60_000);
+        assert_eq!(cells.status(ORIGIN, JOB), "done");
+        cells.fair();
+    }
+}
+
+#[test]
+fn an_offer_that_was_held_up_is_not_accepted_after_the_recall() {
+    let mut cells = full_origin(2, 130);
+    cells.held.insert((ORIGIN, HOST), Vec::new());
+    // The origin has heard what the host has room for.
+    cells.accept(ORIGIN, &job(1, "t1", 4, 10.0));
+    assert!(cells.until(60_000, |cells| cells.forwarded_to(ORIGIN, JOB).is_some()));
+    cells.worlds[ORIGIN].capacity = 12;
+    // The host hears nothing, says nothing of the job, and is recalled for being idle.
+    assert!(cells.until_done(ORIGIN, JOB, 240_000), "{:?}", cells.record(ORIGIN, JOB));
+    cells.let_go(ORIGIN, HOST);
+    cells.run(60_000);
+    assert_eq!(cells.starts(HOST, JOB), 0);
+    assert_each_task_started_once(&cells, JOB, 4);
+    cells.fair();
+}
+
+#[test]
+fn lost_messages_and_late_copies_do_no_harm() {
+    for seed in 0..4 {
+        let mut cells = full_origin(3, 140 + seed);
+        cells.loss = 0.3;
+        cells.late_copies = 0.3;
+        for world in &mut cells.worlds {
+            world.run_ms = 15_000;
+        }
+        for id in 1..=6 {
+            cells.accept(ORIGIN, &job(id, "t1", 4, 15.0));
+        }
+        for cell in 0..3 {
+            let leader = cells.worlds[cell].leader().unwrap_or(0);
+            cells.worlds[cell].crash(leader, 1_000);
+            cells.run(4_000);
+        }
+        for id in 1..=6 {
+            let id = format!("run-{id:06}");
+            assert!(cells.until_done(ORIGIN, &id, 300_000), "seed {seed} {id}");
+        }
+        cells.run(100_000);
+        cells.fair();
+    }
+}
+
+#[test]
+fn writes_that_are_carried_out_late_do_no_harm() {
+    for seed in 0..4 {
+        let mut cells = full_origin(2, 150 + seed);
+        for world in &mut cells.worlds {
+            world.run_ms = 15_000;
+            world.lossy = 0.3;
+        }
+        for id in 1..=4 {
+            cells.accept(ORIGIN, &job(id, "t1", 4, 15.0));
+        }
+        cells.run(20_000);
+        cells.worlds[ORIGIN].capacity = 4;
+        for id in 1..=4 {
+            let id = format!("run-{id:06}");
+            assert!(cells.until_done(ORIGIN, &id, 400_000), "seed {seed} {id}");
+        }
+        cells.fair();
+    }
+}
+
+#[test]
+fn an_id_of_another_cells_job_is_refused_and_its_own_job_is_never_hosted_over() {
+    let mut cells = full_origin(2, 160);
+    let host = spilled(&mut cells, 4, 30.0);
+    let request = cells.worlds[host].submit(0, &job(1, "t1", 4, 30.0));
+    cells.run(1_000);
+    assert_eq!(cells.worlds[host].answers[&request].status, 422);
+    let request = cells.worlds[host].ask(0, woadlever::core::HttpCall::Cancel(JOB.into()));
+    cells.run(1_000);
+    assert_eq!(cells.worlds[host].answers[&request].status, 404);
+    assert!(cells.until_done(ORIGIN, JOB, 120_000));
+
+    // The other way round: both cells have a job of this id, and neither is lost.
+    let mut cells = Cells::new(2, 161);
+    cells.worlds[ORIGIN].capacity = 0;
+    cells.run(8_000);
+    cells.accept(HOST, &job(1, "t1", 2, 5.0));
+    cells.accept(ORIGIN, &job(1, "t1", 2, 5.0));
+    assert!(cells.until_done(HOST, JOB, 120_000));
+    cells.worlds[ORIGIN].capacity = 12;
+    assert!(cells.until_done(ORIGIN, JOB, 240_000), "{:?}", cells.record(ORIGIN, JOB));
+}
--- /dev/null
+++ b/tests/support/cells.rs
@@ -0,0 +1,270 @@
+//! Several cells, each a [`World`] of its own, and the network between them. An oracle
+//! holds the starts of all cells against each other.
+
+use super::{CANCEL_MS, World};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use woadlever::config::Operator;
+use woadlever::wire::workers::TaskState;
+use woadlever_cells::message::CellMessage;
+
+const STEP_MS: u64 = 25;
+/// How long a message between cells takes.
+const LATENCY_MS: u64 = 20;
+/// A late copy arrives up to so much later.
+const LATEST_COPY_MS: u64 = 90_000;
+
+/// Cells that know each other, in lockstep.
+pub struct Cells {
+    pub worlds: Vec<World>,
+    /// (from, to): messages on this way are lost.
+    pub cut: HashSet<(usize, usize)>,
+    /// (from, to): messages on this way wait until they are let go.
+    pub held: HashMap<(usize, usize), Vec<CellMessage>>,
+    /// Share of messages that are lost, and of which a late copy arrives.
+    pub loss: f64,
+    pub late_copies: f64,
+    /// Messages sent between cells.
+    pub messages: usize,
+    queue: BTreeMap<(u64, u64), (usize, CellMessage)>,
+    sequence: u64,
+    rng: StdRng,
+    broken: Vec<String>,
+}
+
+/// Settings of cell `index` of `count`, with the extra lines in its `[cells]` section.
+fn operator(index: usize, count: usize, extra: &str) -> Operator {
+    let mut text = format!(
+        "[cells]\nenabled=true\nname=c{index}\nlisten_port=8082\nspill_after_s=10\n\
+         silence_s=12\nidle_s=45\n{extra}\n"
+    );
+    for other in (0..count).filter(|other| *other != index) {
+        text += &format!("[cell c{other}]\ncontrollers=127.0.0.1:{}\n", 9000 + other);
+    }
+    Operator::parse("cells.ini", &text).expect("settings")
+}
+
+impl Cells {
+    /// So many cells of three controllers each. The first is full with `machines` of its
+    /// cloud's; the others have the room that their cloud has.
+    pub fn new(count: usize, seed: u64) -> Cells {
+        Cells::with_settings(count, seed, "")
+    }
+
+    /// The same with further settings of all cells.
+    pub fn with_settings(count: usize, seed: u64, extra: &str) -> Cells {
+        let world = |index| World::cell(3, seed * 10 + index as u64, operator(index, count, extra));
+        Cells {
+            worlds: (0..count).map(world).collect(),
+            cut: HashSet::new(),
+            held: HashMap::new(),
+            loss: 0.0,
+            late_copies: 0.0,
+            messages: 0,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            rng: StdRng::seed_from_u64(seed),
+            broken: Vec::new(),
+        }
+    }
+
+    pub fn now(&self) -> u64 {
+        self.worlds[0].now
+    }
+
+    /// A user of one cell submits a job; its description is there for all workers.
+    pub fn accept(&mut self, cell: usize, body: &Value) {
+        let id = body["name_id"].as_str().unwrap().to_string();
+        for world in &mut self.worlds {
+            world.jobs.insert(id.clone(), body.clone());
+        }
+        let node = 0;
+        for _ in 0..60 {
+            let request = self.worlds[cell].submit(node, body);
+            self.run(1_000);
+            let answer = self.worlds[cell].answers.get(&request);
+            if answer.is_some_and(|answer| answer.status == 200 || answer.status == 201) {
+                return;
+            }
+        }
+        panic!("not accepted: {body}");
+    }
+
+    /// A user of one cell cancels a job; whether that was confirmed.
+    pub fn cancel(&mut self, cell: usize, id: &str) -> bool {
+        use woadlever::core::HttpCall;
+        self.worlds[cell].asked_to_cancel.insert(id.into());
+        for _ in 0..20 {
+            let request = self.worlds[cell].ask(0, HttpCall::Cancel(id.into()));
+            self.run(500);
+            let answer = self.worlds[cell].answers.get(&request);
+            if answer.is_some_and(|answer| answer.body.contains("withdrawn")) {
+                let now = self.now();
+                for world in &mut self.worlds {
+                    world.cancelled.entry(id.into()).or_insert(now);
+                }
+                return true;
+            }
+        }
+        false
+    }
+
+    /// What a user of a cell is told of a job.
+    pub fn status(&mut self, cell: usize, id: &str) -> String {
+        use woadlever::core::HttpCall;
+        let request = self.worlds[cell].ask(0, HttpCall::Status(id.into()));
+        self.run(300);
+        self.worlds[cell].answers.get(&request).map_or("none".into(), |answer| {
+            let body: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+            body["status"].as_str().map_or(answer.status.to_string(), str::to_string)
+        })
+    }
+
+    /// The state of a job on record in a cell, with its forwarding and origin.
+    pub fn record(&self, cell: usize, id: &str) -> Option<Value> {
+        self.worlds[cell].state.keys.get(&format!("w/job/{id}")).map(|(value, ..)| value.clone())
+    }
+
+    /// Where the record of the origin says that the job is: none if it is there.
+    pub fn forwarded_to(&self, origin: usize, id: &str) -> Option<String> {
+        let record = self.record(origin, id)?;
+        let is_away = record["f"]["p"] == "a" || record["f"]["p"] == "r";
+        is_away.then(|| record["f"]["c"].as_str().unwrap_or_default().to_string())
+    }
+
+    /// Starts of a job's tasks in one cell.
+    pub fn starts(&self, cell: usize, id: &str) -> u32 {
+        let prefix = format!("{id}/");
+        let starts = self.worlds[cell].starts.iter();
+        starts.filter(|(task, _)| task.starts_with(&prefix)).map(|(_, starts)| starts).sum()
+    }
+
+    /// Tasks of a job that run in a cell now.
+    pub fn running(&self, cell: usize, id: &str) -> usize {
+        let workers = self.worlds[cell].workers.iter().filter(|worker| worker.alive);
+        let tasks = workers.flat_map(|worker| &worker.tasks);
+        tasks.filter(|task| task.job == id && task.state != TaskState::Exited).count()
+    }
+
+    pub fn crash_cell(&mut self, cell: usize, back_ms: u64) {
+        for node in 0..3 {
+            self.worlds[cell].crash(node, back_ms);
+        }
+    }
+
+    /// Messages between the two cells are lost, both ways.
+    pub fn part(&mut self, a: usize, b: usize) {
+        self.cut.extend([(a, b), (b, a)]);
+    }
+
+    pub fn join(&mut self) {
+        self.cut.clear();
+    }
+
+    /// Lets the messages go that are held on a way, in their order.
+    pub fn let_go(&mut self, from: usize, to: usize) {
+        for message in self.held.remove(&(from, to)).unwrap_or_default() {
+            self.push(1, to, message);
+        }
+    }
+
+    fn push(&mut self, delay: u64, to: usize, message: CellMessage) {
+        self.sequence += 1;
+        self.queue.insert((self.now() + delay, self.sequence), (to, message));
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now() + ms;
+        while self.now() < end {
+            for world in &mut self.worlds {
+                world.run(STEP_MS);
+            }
+            self.collect();
+            self.deliver();
+            self.check();
+        }
+    }
+
+    pub fn until(&mut self, limit_ms: u64, holds: impl Fn(&Cells) -> bool) -> bool {
+        let end = self.now() + limit_ms;
+        while self.now() < end && !holds(self) {
+            self.run(250);
+        }
+        holds(self)
+    }
+
+    pub fn until_done(&mut self, cell: usize, id: &str, limit_ms: u64) -> bool {
+        self.until(limit_ms, |cells| cells.record(cell, id).is_some_and(|record| record["s"] == "d"))
+    }
+
+    fn collect(&mut self) {
+        for from in 0..self.worlds.len() {
+            for (cell, message) in std::mem::take(&mut self.worlds[from].cell_messages) {
+                let to: usize = cell[1..].parse().unwrap();
+                self.messages += 1;
+                if let Some(held) = self.held.get_mut(&(from, to)) {
+                    held.push(message);
+                    continue;
+                }
+                if self.cut.contains(&(from, to)) || self.rng.random_range(0.0..1.0) < self.loss {
+                    continue;
+                }
+                if self.rng.random_range(0.0..1.0) < self.late_copies {
+                    let delay = self.rng.random_range(1_000..LATEST_COPY_MS);
+                    self.push(delay, to, message.clone());
+                }
+                self.push(LATENCY_MS, to, message);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now();
+        while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= now) {
+            let (to, message) = entry.remove();
+            for node in 0..3 {
+                if self.worlds[to].nodes[node].is_some() {
+                    self.worlds[to].cell_message(node, message.clone());
+                }
+            }
+        }
+    }
+
+    /// No task runs in two cells at once, and none in any cell for longer than `cancel_s`
+    /// after the cancellation of its job; a job has one final state.
+    fn check(&mut self) {
+        let now = self.now();
+        let mut seen: HashMap<(String, u32), usize> = HashMap::new();
+        for (cell, world) in self.worlds.iter().enumerate() {
+            for worker in world.workers.iter().filter(|worker| worker.alive) {
+                let is_there =
+                    |state: TaskState| matches!(state, TaskState::Running | TaskState::Saving);
+                for task in worker.tasks.iter().filter(|task| is_there(task.state)) {
+                    let other = seen.insert((task.job.clone(), task.task), cell);
+                    if other.is_some_and(|other| other != cell) {
+                        self.broken.push(format!("{now} {}/{} runs in two cells", task.job, task.task));
+                    }
+                    let at = world.cancelled.get(&task.job);
+                    if at.is_some_and(|at| now > at + CANCEL_MS) {
+                        self.broken.push(format!("{now} ran_cancelled {} in c{cell}", task.job));
+                    }
+                }
+            }
+        }
+        let started: BTreeSet<String> =
+            self.worlds.iter().flat_map(|world| world.starts.keys().cloned()).collect();
+        for world in &mut self.worlds {
+            world.elsewhere.extend(started.iter().cloned());
+        }
+    }
+
+    pub fn fair(&self) {
+        let few = &self.broken[..self.broken.len().min(5)];
+        assert!(self.broken.is_empty(), "rules broken between cells: {few:?}");
+        for world in &self.worlds {
+            world.fair();
+        }
+    }
+}
