Cells: a job that can never run in a cell does not keep others out; settings and formats tested

Need: a refusal made the origin pause for the whole cell, although only that job may be at fault (a team that is unknown there, a record too long). The default time to begin a job was shorter than machines may boot.

Change: such a refusal asks for no pause; records are checked with room for what a move adds; idle_s is 120 s by default. Tests of single decisions (routing, leases against clocks, backoff, membership), of the settings, of records that a controller without cells reads, and of messages of other versions.

--- a/crates/cells/src/message.rs
+++ b/crates/cells/src/message.rs
@@ -11,6 +11,10 @@
 /// is not known are dropped.
 pub const VERSION: u16 = 1;
 
+/// Time after which a cell is to be asked again that can't run the job at all: others may
+/// be offered at once.
+pub const FOR_GOOD: Millis = 0;
+
 /// One cell's state, as far as it concerns another.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub struct CellMessage {
@@ -76,9 +80,10 @@
 /// How far a job is at its host cell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
 pub enum HostedPhase {
-    /// Not accepted; another may be offered after this time.
+    /// Not accepted; another job may be offered after this time.
     Refused {
-        /// Time until the cell should be asked again.
+        /// Time until the cell should be asked again; [`FOR_GOOD`] if only this job can
+        /// never run there.
         retry_after_ms: Millis,
     },
     /// Accepted and not done.
--- /dev/null
+++ b/crates/cells/tests/decisions.rs
@@ -0,0 +1,230 @@
+//! Single decisions: which cell a job goes to, how long a lease lasts, how another cell
+//! looks, and what the two sides do in the cases that scenarios don't reach.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, reason = "a test fails by panicking")]
+
+use proptest::prelude::*;
+use woadlever_cells::host::{Admission, HostRecord, HostStep, Listing, decide, may_extend_lease};
+use woadlever_cells::lease::{CellTiming, MIN_LEASE_MS};
+use woadlever_cells::message::{
+    CellMessage, ForwardedJob, ForwardedState, HostedJob, HostedPhase, HostedState,
+};
+use woadlever_cells::neighbor::{Health, Neighbor};
+use woadlever_cells::record::{ForwardPhase, Forwarding};
+use woadlever_cells::routing::{Amount, ClassCapacity, JobShape, Room, choose};
+
+const MACHINE: Amount = Amount { cpus: 16.0, gpus: 0.0, memory_gb: 64.0 };
+const NEED: Amount = Amount { cpus: 4.0, gpus: 0.0, memory_gb: 4.0 };
+
+fn class(zone: &str, is_spot: bool, free_cpus: f64, rentable: u32) -> ClassCapacity {
+    let free = Amount { cpus: free_cpus, gpus: 0.0, memory_gb: free_cpus * 4.0 };
+    let largest = Amount { cpus: free_cpus.min(16.0), ..free };
+    let machine_type = "m16".to_string();
+    ClassCapacity { machine_type, zone: zone.into(), is_spot, machine: MACHINE, free, largest, rentable }
+}
+
+fn job(tasks: u32) -> JobShape<'static> {
+    JobShape {
+        need: NEED,
+        tasks,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        allows_spot: true,
+    }
+}
+
+#[test]
+fn free_room_comes_before_machines_to_be_rented_and_then_the_emptier_cell() {
+    let (full, rents, free) =
+        ([class("z", true, 0.0, 0)], [class("z", true, 0.0, 50)], [class("z", true, 32.0, 0)]);
+    let offers = [("a", &full[..]), ("b", &rents[..]), ("c", &free[..])];
+    assert_eq!(choose(&job(8), offers.into_iter(), 0.5), Some("c"));
+    assert_eq!(choose(&job(8), offers.into_iter().take(2), 0.5), Some("b"));
+    assert_eq!(choose(&job(8), offers.into_iter().take(1), 0.5), None);
+    let (some, more) = ([class("z", true, 0.0, 10)], [class("z", true, 0.0, 11)]);
+    let equal = [("a", &some[..]), ("b", &more[..]), ("c", &some[..])];
+    assert_eq!(choose(&job(8), equal.into_iter(), 0.5), Some("b"));
+}
+
+#[test]
+fn a_cell_without_the_zone_type_or_kind_of_machine_has_no_room() {
+    let capacity = [class("east", true, 64.0, 0)];
+    assert!(job(4).fits(&capacity, 1.0));
+    assert!(!JobShape { zone: Some("west"), ..job(4) }.fits(&capacity, 0.0));
+    assert!(!JobShape { types: Some(&["m64".to_string()]), ..job(4) }.fits(&capacity, 0.0));
+    assert!(!JobShape { allows_spot: false, ..job(4) }.fits(&capacity, 0.0));
+    let large = Amount { cpus: 32.0, ..NEED };
+    assert!(!JobShape { need: large, ..job(1) }.fits(&capacity, 0.0), "no machine holds a task");
+}
+
+#[test]
+fn rules_on_zones_bound_what_fits() {
+    let capacity = [class("east", true, 16.0, 0), class("west", true, 32.0, 0)];
+    let all = |job: JobShape| job.tasks_that_fit(&capacity, Room::Free);
+    assert_eq!(all(job(12)), 12);
+    assert_eq!(all(JobShape { one_zone: true, ..job(12) }), 8);
+    assert_eq!(all(JobShape { spread: true, ..job(10) }), 4 + 5);
+}
+
+#[test]
+fn a_host_that_stops_too_slowly_gets_no_lease() {
+    let timing = CellTiming { worker_lease_ms: 27_000, cancel_ms: 52_000, clock_error_ms: 25 };
+    assert_eq!(timing.grant_ms(timing.stop_within_ms()), Some(22_973));
+    assert_eq!(timing.grant_ms(46_000), None);
+    assert_eq!(timing.grant_ms(60_000), None);
+}
+
+#[test]
+fn another_cell_is_suspected_before_it_counts_as_silent() {
+    let silence_ms = 30_000;
+    let mut neighbor = Neighbor::new(1_000);
+    assert_eq!(neighbor.health(1_000, silence_ms), Health::Suspect, "not heard yet");
+    assert!(neighbor.receive(message(1, 10, HostedPhase::Done), 2_000).is_some());
+    assert_eq!(neighbor.health(3_000, silence_ms), Health::Alive);
+    assert!(neighbor.may_be_offered(3_000, silence_ms));
+    assert_eq!(neighbor.health(8_000, silence_ms), Health::Suspect);
+    assert!(!neighbor.may_be_offered(8_000, silence_ms));
+    assert_eq!(neighbor.health(32_000, silence_ms), Health::Silent);
+}
+
+#[test]
+fn messages_of_a_former_leader_and_older_ones_are_dropped() {
+    let mut neighbor = Neighbor::new(0);
+    assert!(neighbor.receive(message(2, 10, HostedPhase::Done), 1).is_some());
+    assert!(neighbor.receive(message(1, 99, HostedPhase::Released), 2).is_none(), "former leader");
+    assert!(neighbor.receive(message(2, 9, HostedPhase::Released), 3).is_none(), "older");
+    assert_eq!(neighbor.phase_of("run-1", 5), Some(HostedPhase::Done));
+    assert_eq!(neighbor.phase_of("run-1", 6), None, "another epoch");
+    assert!(neighbor.receive(message(3, 1, HostedPhase::Released), 4).is_some(), "newer leader");
+}
+
+#[test]
+fn a_cell_that_refuses_is_asked_less_and_less_often_until_it_runs_a_job() {
+    let mut neighbor = Neighbor::new(0);
+    neighbor.receive(message(1, 1, HostedPhase::Released), 0);
+    let mut now = 0;
+    let mut pauses = Vec::new();
+    for _ in 0..8 {
+        neighbor.note_refusal(now, 1_000);
+        let began = now;
+        while !neighbor.may_be_offered(now, u64::MAX) {
+            neighbor.receive(message(1, now, HostedPhase::Released), now);
+            now += 500;
+        }
+        pauses.push(now - began);
+    }
+    assert!(pauses.windows(2).all(|pair| pair[0] <= pair[1]), "{pauses:?}");
+    assert!(pauses[7] >= 60_000 && pauses[7] <= 121_000, "{pauses:?}");
+    neighbor.note_success();
+    neighbor.note_refusal(now, 1_000);
+    assert!(neighbor.may_be_offered(now + 1_000, u64::MAX));
+}
+
+#[test]
+fn what_is_final_at_the_host_is_told_whatever_the_origin_lists() {
+    let refuse = Admission::Refuse { retry_after_ms: 1 };
+    for listing in [Listing::Active, Listing::Recalled, Listing::Absent] {
+        let (step, phase) = decide(listing, HostRecord::Done, refuse);
+        assert_eq!((step, phase), (HostStep::None, Some(HostedPhase::Done)));
+        let (step, phase) = decide(listing, HostRecord::Foreign, Admission::Accept);
+        assert_eq!((step, phase), (HostStep::None, Some(HostedPhase::Released)));
+        let held = HostRecord::Withdrawn { has_attempts: true };
+        assert_eq!(decide(listing, held, refuse), (HostStep::None, None), "not released yet");
+    }
+    let unknown = decide(Listing::Recalled, HostRecord::Unknown, Admission::Accept);
+    assert_eq!(unknown, (HostStep::Tombstone, None));
+    let live = HostRecord::Live { done: 0, running: 1 };
+    assert_eq!(decide(Listing::Absent, live, refuse).0, HostStep::Withdraw);
+    assert!(!may_extend_lease([(Listing::Active, live), (Listing::Recalled, live)].into_iter()));
+    assert!(may_extend_lease([(Listing::Active, live), (Listing::Recalled, held())].into_iter()));
+}
+
+fn held() -> HostRecord {
+    HostRecord::Withdrawn { has_attempts: false }
+}
+
+#[test]
+fn a_job_is_not_forwarded_again_to_a_cell_that_gave_it_back() {
+    let first = Forwarding::begin("b", 5, None);
+    let returned = first.recalled().returned();
+    let second = Forwarding::begin("c", 9, Some(&returned));
+    assert!(first.is_away() && !returned.is_away() && second.is_away());
+    assert_eq!((second.phase, second.epoch), (ForwardPhase::Active, 9));
+    assert_eq!(second.tried, ["b"]);
+    assert_eq!(second.returned().tried, ["b", "c"]);
+}
+
+fn message(term: u64, revision: u64, phase: HostedPhase) -> CellMessage {
+    let job = HostedJob { id: "run-1".into(), epoch: 5, phase, done: String::new() };
+    let hosted = HostedState { stop_within_ms: 20_000, capacity: Vec::new(), jobs: vec![job] };
+    CellMessage { cell: "b".into(), term, revision, forwarded: ForwardedState::default(), hosted }
+}
+
+#[test]
+fn the_list_of_as_many_jobs_as_the_settings_allow_fits_into_a_frame() {
+    let job = |n: u64| ForwardedJob {
+        id: format!("run-{n:012}"),
+        epoch: 1_000_000 + n * 7,
+        is_recalled: false,
+        spec: None,
+    };
+    let jobs = (0..50_000).map(job).collect();
+    let forwarded = ForwardedState { lease_until_ms: 1, jobs };
+    let message = CellMessage { forwarded, ..message(1, 1, HostedPhase::Done) };
+    let bytes = bitcode::encode(&message).len();
+    assert!(bytes < 4 << 20, "{bytes}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: prop::test_runner::RngSeed::Fixed(32),
+        ..ProptestConfig::default()
+    })]
+
+    /// However the clocks of the two cells differ within their bounds, a host has stopped
+    /// within the origin's bound for cancellations, counted from the proof.
+    #[test]
+    fn a_lease_and_the_stop_after_it_end_within_the_bound_of_cancellations(
+        worker_lease_ms in 1_000u64..60_000,
+        cancel_ms in 2_000u64..120_000,
+        clock_error_ms in 0u64..1_000,
+        origin_clock in 0i64..2_000,
+        host_clock in 0i64..2_000,
+    ) {
+        let timing = CellTiming { worker_lease_ms, cancel_ms, clock_error_ms };
+        let error = clock_error_ms as i64;
+        let (origin_off, host_off) = (origin_clock.clamp(0, 2 * error) - error, host_clock.clamp(0, 2 * error) - error);
+        let proof_true = 10_000_000i64;
+        let proof_wall = (proof_true + origin_off) as u64;
+        let Some(until) = timing.lease_until_ms(proof_wall, timing.stop_within_ms()) else { return Ok(()) };
+        // The first moment, in true time, at which the host's clock calls it ended.
+        let ended_true = until as i64 - error - host_off;
+        prop_assert!(timing.has_ended(until, (ended_true + host_off) as u64));
+        let gone_true = ended_true.max(proof_true) + timing.stop_within_ms() as i64;
+        prop_assert!(gone_true <= proof_true + cancel_ms as i64);
+        prop_assert!(timing.grant_ms(timing.stop_within_ms()).unwrap() >= MIN_LEASE_MS);
+        prop_assert!(timing.reclaim_after_ms() >= cancel_ms);
+    }
+
+    /// No room is counted twice, however many jobs are taken out of it.
+    #[test]
+    fn room_that_is_reserved_is_gone(
+        free in 0u32..40,
+        rentable in 0u32..10,
+        sizes in proptest::collection::vec(1u32..30, 1..20),
+    ) {
+        let mut capacity = [class("east", false, f64::from(free) * 4.0, rentable), class("west", true, 0.0, 3)];
+        let all = job(u32::MAX).tasks_that_fit(&capacity, Room::FreeOrRentable);
+        let mut taken = 0;
+        for tasks in sizes {
+            let shape = job(tasks);
+            let fits = shape.tasks_that_fit(&capacity, Room::FreeOrRentable);
+            shape.reserve(&mut capacity);
+            taken += fits;
+        }
+        prop_assert!(taken <= all, "{taken} of {all}");
+    }
+}
--- a/src/config/cells.rs
+++ b/src/config/cells.rs
@@ -9,7 +9,8 @@
 /// A job is offered to other cells after this wait, unless the settings say otherwise.
 const DEFAULT_SPILL_AFTER_MS: Millis = 60_000;
 const DEFAULT_SILENCE_MS: Millis = 30_000;
-const DEFAULT_IDLE_MS: Millis = 60_000;
+/// Longer than machines take to boot.
+const DEFAULT_IDLE_MS: Millis = 120_000;
 /// Jobs that one other cell hosts at most.
 const DEFAULT_MAX_FORWARDED: usize = 4_096;
 /// With more, the list of them would not fit into a message.
--- a/src/core/leader/cells/host.rs
+++ b/src/core/leader/cells/host.rs
@@ -1,7 +1,7 @@
 //! Jobs of other cells that this one hosts: accepted, run under a lease, given back.
 
 use super::capacity::shape_of;
-use super::{CellCall, Cells, Creation, RETRY_MS};
+use super::{CellCall, Cells, Creation, RECORD_SLACK, RETRY_MS};
 use crate::core::common::cell_leases::cell_lease_key;
 use crate::core::common::feasibility::can_run;
 use crate::core::common::model::{Ms, Spec};
@@ -17,7 +17,7 @@
 use rustc_hash::FxHashMap;
 use std::collections::HashMap;
 use woadlever_cells::host::{Admission, HostRecord, HostStep, Listing, decide, may_extend_lease};
-use woadlever_cells::message::{ForwardedJob, ForwardedState, HostedJob};
+use woadlever_cells::message::{FOR_GOOD, ForwardedJob, ForwardedState, HostedJob};
 use woadlever_cells::record::{CellLease, Origin};
 
 /// A lease is written anew when the origin has extended it by this much, so that it costs
@@ -159,12 +159,10 @@
         if has_ended || shared.types.is_empty() {
             return Admission::Undecided;
         }
-        let is_sound =
-            |spec: &Spec| valid_id(&job.id) && (1..=MAX_TASKS).contains(&u64::from(spec.tasks));
-        let is_welcome = |spec: &Spec| {
-            is_sound(spec) && can_run(shared, spec).is_ok() && self.has_room_for(shared, spec)
+        let Some(spec) = spec.filter(|spec| is_sound(shared, &job.id, spec)) else {
+            return Admission::Refuse { retry_after_ms: FOR_GOOD };
         };
-        match spec.is_some_and(is_welcome) {
+        match self.has_room_for(shared, spec) {
             true => Admission::Accept,
             false => Admission::Refuse { retry_after_ms: REFUSED_MS },
         }
@@ -273,6 +271,16 @@
     }
 }
 
+/// Whether a job of another cell could run here and be kept on record.
+fn is_sound(shared: &Shared, id: &str, spec: &Spec) -> bool {
+    // The record's origin comes on top of the job itself.
+    let bytes = Encoded::new(&JobRecord::live(spec.clone(), &[])).len() + RECORD_SLACK;
+    valid_id(id)
+        && (1..=MAX_TASKS).contains(&u64::from(spec.tasks))
+        && bytes <= shared.cfg.cluster.state.value_bytes()
+        && can_run(shared, spec).is_ok()
+}
+
 /// Leaves out what would make a message too long.
 fn limit_done(report: HostedJob, bytes_left: &mut usize) -> HostedJob {
     match bytes_left.checked_sub(report.done.len()) {
--- a/src/core/leader/cells/mod.rs
+++ b/src/core/leader/cells/mod.rs
@@ -31,6 +31,8 @@
 /// Share of the state service's changes that moving jobs between cells may take.
 const WRITE_SHARE: f64 = 0.2;
 const RETRY_MS: Ms = 500;
+/// Bytes by which the record of a job may grow while it moves: names of cells and numbers.
+const RECORD_SLACK: usize = 256;
 
 /// What a call to the state service was for.
 #[derive(Debug)]
--- a/src/core/leader/cells/origin.rs
+++ b/src/core/leader/cells/origin.rs
@@ -1,7 +1,7 @@
 //! Jobs of this cell that others host: forwarded, followed, taken back.
 
 use super::capacity::{self, shape_of};
-use super::{CellCall, Cells, record_change};
+use super::{CellCall, Cells, RECORD_SLACK, RETRY_MS, record_change};
 use crate::core::common::model::{Ms, Spec};
 use crate::core::common::shared::{RecordSource, Shared};
 use crate::core::leader::live_jobs::{CellStanding, LiveJob};
@@ -10,14 +10,15 @@
 use crate::wire::encoded::Encoded;
 use crate::wire::state::{JobRecord, JobState};
 use std::collections::BTreeMap;
-use woadlever_cells::message::{CellMessage, ForwardedJob, ForwardedState, HostedJob, HostedPhase};
+use woadlever_cells::message::{
+    CellMessage, FOR_GOOD, ForwardedJob, ForwardedState, HostedJob, HostedPhase,
+};
 use woadlever_cells::origin::{ForwardView, OriginLimits, OriginStep, next_step};
 use woadlever_cells::record::{ForwardPhase, Forwarding};
 use woadlever_cells::routing;
 
 /// Descriptions that go along with one message; the rest follows with the next.
 const MAX_SPECS: usize = 64;
-const RETRY_MS: Ms = 500;
 /// A job for which machines boot or are asked for here is offered to other cells after so
 /// many times the ordinary wait.
 const LONG_WAIT_FACTOR: Ms = 3;
@@ -205,7 +206,7 @@
         let job = shared.job(index);
         let forwarding = Forwarding::begin(cell, job.version, job.forwarding());
         let record = JobRecord::forwarded(spec.clone(), &awaited(shared, index), forwarding);
-        if Encoded::new(&record).len() > shared.cfg.cluster.state.value_bytes() {
+        if Encoded::new(&record).len() + RECORD_SLACK > shared.cfg.cluster.state.value_bytes() {
             return false;
         }
         tracing::info!(job = shared.jobs.id(index), cell, "forwarding job");
@@ -328,7 +329,9 @@
             && !observed.is_refusal_counted
         {
             observed.is_refusal_counted = true;
-            neighbor.note_refusal(now, retry_after_ms);
+            if retry_after_ms != FOR_GOOD {
+                neighbor.note_refusal(now, retry_after_ms);
+            }
         }
         next_step(&view, &limits)
     }
--- a/src/core/leader/grants.rs
+++ b/src/core/leader/grants.rs
@@ -175,7 +175,8 @@
         let mut list: Vec<(JobOrder, u32)> = Vec::new();
         let wall = shared.wall;
         for (ix, j) in &mut self.jobs {
-            if j.hold_until > now || !j.may_be_granted() || shared.must_stop(*ix) || j.peek().is_none() {
+            let is_paused = j.is_hosted() && shared.must_stop(*ix);
+            if j.hold_until > now || !j.may_be_granted() || is_paused || j.peek().is_none() {
                 continue;
             }
             let ratio = self.ratios.get(&j.spec.class).copied().unwrap_or(1.0);
--- a/src/io/frames.rs
+++ b/src/io/frames.rs
@@ -59,7 +59,9 @@
     }
 }
 
+/// What a link is told to do.
 pub enum Post<T> {
+    /// Send this.
     Frame(Box<T>),
     /// Leave the present connection; the next frame opens another.
     Reconnect,
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -3,7 +3,7 @@
 mod client;
 mod cloud;
 pub mod driver;
-mod frames;
+pub mod frames;
 mod gate;
 mod requests;
 mod server;
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -53,6 +53,33 @@
     cells.fair();
 }
 
+/// Simulated seconds until 24 jobs of four tasks are done that all come to one small cell.
+fn crowd_s(cells_in_all: usize) -> u64 {
+    let mut cells = Cells::new(cells_in_all, 240);
+    for world in &mut cells.worlds {
+        world.run_ms = 20_000;
+    }
+    cells.worlds[ORIGIN].capacity = 2;
+    cells.run(8_000);
+    let began = cells.now();
+    for id in 1..=24 {
+        cells.accept(ORIGIN, &job(id, "t1", 4, 20.0));
+    }
+    for id in 1..=24 {
+        assert!(cells.until_done(ORIGIN, &format!("run-{id:06}"), 900_000), "run-{id:06}");
+        assert_each_task_started_once(&cells, &format!("run-{id:06}"), 4);
+    }
+    cells.fair();
+    (cells.now() - began) / 1_000
+}
+
+#[test]
+fn a_crowd_at_one_cell_is_done_sooner_with_others_beside_it() {
+    let (alone, shared) = (crowd_s(1), crowd_s(3));
+    println!("a crowd at one cell: {alone} s alone, {shared} s with two others");
+    assert!(shared * 2 < alone, "{shared} s with two others, {alone} s alone");
+}
+
 #[test]
 fn nothing_moves_while_there_is_room_at_home() {
     let mut cells = Cells::new(2, 2);
@@ -170,8 +197,11 @@
     let mut cells = full_origin(2, 90);
     let host = spilled(&mut cells, 6, 300.0);
     cells.crash_cell(host, 150_000);
+    let lost_at = cells.now();
     cells.worlds[ORIGIN].capacity = 12;
     cells.worlds[ORIGIN].run_ms = 10_000;
+    assert!(cells.until(120_000, |cells| cells.running(ORIGIN, JOB) > 0));
+    println!("from the loss of the host cell to the first start at home: {} ms", cells.now() - lost_at);
     assert!(cells.until_done(ORIGIN, JOB, 140_000));
     cells.run(90_000);
     assert_eq!(cells.record(host, JOB).unwrap()["s"], "c");
@@ -403,6 +433,32 @@
     cells.fair();
 }
 
+#[test]
+fn a_cell_that_cannot_run_a_job_at_all_does_not_keep_others_out() {
+    let mut cells = full_origin(2, 230);
+    for world in &mut cells.worlds {
+        world.run_ms = 5_000;
+    }
+    // The other cell has no team t0, which its room does not tell.
+    cells.worlds[HOST].without_team = Some("t0");
+    cells.crash_cell(HOST, 100);
+    cells.run(10_000);
+    for id in 2..=4 {
+        cells.accept(ORIGIN, &job(id, "t0", 2, 5.0));
+    }
+    let are_back = |cells: &Cells| {
+        let is_back = |id: u32| cells.record(ORIGIN, &format!("run-{id:06}")).unwrap()["f"]["p"] == "b";
+        (2..=4).all(is_back)
+    };
+    assert!(cells.until(60_000, are_back), "refused");
+    cells.accept(ORIGIN, &job(1, "t1", 2, 5.0));
+    let is_offered = |cells: &Cells| cells.forwarded_to(ORIGIN, JOB).is_some();
+    assert!(cells.until(13_000, is_offered), "offered as soon as it has waited");
+    assert!(cells.until_done(ORIGIN, JOB, 120_000));
+    assert_eq!(cells.starts(HOST, JOB), 2);
+    cells.fair();
+}
+
 #[test]
 fn the_end_of_a_job_is_not_lost_with_the_hosts_controllers() {
     let mut cells = full_origin(2, 210);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -143,6 +143,8 @@
     pub elsewhere: HashSet<String>,
     /// Messages to other cells that have not been taken on yet.
     pub cell_messages: Vec<(String, CellMessage)>,
+    /// A team that processes started from now on don't know.
+    pub without_team: Option<&'static str>,
     /// The operators' settings of all nodes.
     pub operator: Operator,
 }
@@ -248,6 +250,7 @@
             boot_ms: 6_000..15_000,
             elsewhere: HashSet::new(),
             cell_messages: Vec::new(),
+            without_team: None,
             operator,
         };
         for i in 0..nodes {
@@ -259,7 +262,9 @@
     pub fn boot(&mut self, node: usize) {
         self.next_inc += 1;
         let inc = self.next_inc;
-        let cfg = Arc::new(sized_platform(self.size, node, self.n, self.next));
+        let mut cfg = sized_platform(self.size, node, self.n, self.next);
+        cfg.cluster.teams.retain(|team| Some(team.name.as_str()) != self.without_team);
+        let cfg = Arc::new(cfg);
         let core = Core::new(cfg, self.operator.clone(), inc, inc * 7, 1);
         self.booted[node] = self.now;
         self.nodes[node] = Some((core, inc));
--- a/tests/units.rs
+++ b/tests/units.rs
@@ -8,12 +8,16 @@
 use woadlever::core::common::model::{Res, TaskSet, block_of, blocks_of, split_task};
 use woadlever::core::common::window::{Booking, project, remaining_s};
 use woadlever::core::forecast::History;
+use woadlever::io::frames::Payload;
 use woadlever::wire::encoded::Encoded;
 use woadlever::wire::peer::{Body, Frame, Heartbeat};
 use woadlever::wire::state::{
-    Change, Cond, Item, LeaseGranted, Page, Txn, TxnDone, TxnFailed, WatchAnswer,
+    Change, Cond, Item, JobRecord, JobState, LeaseGranted, Page, Txn, TxnDone, TxnFailed, WatchAnswer,
 };
+use woadlever::wire::users::parse_job;
 use woadlever::wire::workers::{Report, TaskState};
+use woadlever_cells::message::{CellMessage, ForwardedState, HostedState};
+use woadlever_cells::record::{CellLease, Forwarding, Origin};
 
 const PLATFORM: &str = r#"
 host_name = "a"
@@ -310,3 +314,78 @@
     let lease: LeaseGranted = serde_json::from_str(r#"{"permit":7}"#).unwrap();
     assert_eq!((done.revision, failed.failed, lease.lease), (432, vec!["a/b".to_string()], 7));
 }
+
+#[test]
+fn cell_settings_that_cannot_be_used_are_named() {
+    let cells = Operator::parse("o", include_str!("../deploy/cells.ini")).unwrap().cells;
+    assert!(cells.enabled && cells.accept && cells.name == "split" && cells.listen_port == 8082);
+    let names: Vec<&str> = cells.neighbors.iter().map(|cell| cell.name.as_str()).collect();
+    assert_eq!(names, ["zagreb", "rijeka"]);
+    assert_eq!(cells.neighbors[0].controllers.len(), 3);
+    assert!(!Operator::default().cells.enabled, "off unless switched on");
+    let good = "[cells]\nenabled=true\nname=a\nlisten_port=1\n";
+    assert!(Operator::parse("o", good).is_ok());
+    for (more, names) in [
+        ("enabled=yes\n", "[cells] enabled"),
+        ("name=a b\n", "[cells] name"),
+        ("listen_port=0\n", "[cells] listen_port"),
+        ("silence_s=1\n", "[cells] silence_s"),
+        ("max_forwarded=100000\n", "[cells] max_forwarded"),
+        ("novelty=1\n", "[cells] novelty"),
+        ("[cell a]\ncontrollers=127.0.0.1:1\n", "[cell a]"),
+        ("[cell b]\ncontrollers=127.0.0.1\n", "[cell b] controllers"),
+        ("[cell b]\naddress=127.0.0.1:1\n", "[cell b] address"),
+        ("[cell b/c]\ncontrollers=127.0.0.1:1\n", "[cell b/c]"),
+    ] {
+        let text = format!("{good}{more}");
+        let error = Operator::parse("o", &text).unwrap_err().to_string();
+        assert!(error.contains(names), "{error}");
+    }
+    let error = Operator::parse("o", "[cells]\nenabled=true\nname=a\n").unwrap_err().to_string();
+    assert!(error.contains("[cells] listen_port"), "{error}");
+}
+
+/// A controller that knows nothing of cells reads these records too, and must find nothing
+/// to start; one that does finds the same job again.
+#[test]
+fn the_record_of_a_job_that_is_away_hides_its_description() {
+    let body = json!({"name_id": "run-1", "jobclass": "c", "crew": "t", "shape": "batch",
+        "urgency": "normal", "pieces": 2, "cores": 1.0, "cards": 0.0, "memory_gb": 1.0,
+        "one_zone": false, "scatter": false, "standby": true, "bundle": "i", "pull_gb": 0.0,
+        "guess_s": 1.0, "bookmark_s": 0.0, "stow_s": 0.0});
+    let spec = parse_job(body.to_string().as_bytes()).unwrap().spec;
+    let awaits = vec!["run-7".to_string()];
+    let away = Forwarding::begin("b", 4, None);
+    let text = |record: &JobRecord| serde_json::to_value(record).unwrap();
+    let plain = text(&JobRecord::live(spec.clone(), &[]));
+    assert!(plain.get("f").is_none() && plain.get("o").is_none() && plain.get("q").is_none());
+    for phase in [away.clone(), away.recalled()] {
+        let record = JobRecord::forwarded(spec.clone(), &awaits, phase);
+        let value = text(&record);
+        assert!(value.get("j").is_none() && value.get("p").is_none(), "{value}");
+        let read: JobRecord = serde_json::from_value(value).unwrap();
+        assert_eq!(read, record);
+        assert_eq!(read.into_parts(), (Some(spec.clone()), awaits.clone()));
+    }
+    let back = JobRecord::forwarded(spec.clone(), &[], away.returned());
+    assert!(text(&back).get("j").is_some());
+    let origin = Origin { cell: "a".into(), epoch: 4, done: String::new() };
+    let hosted = JobRecord::hosted(spec, origin.clone());
+    assert_eq!((hosted.state, hosted.origin.as_ref()), (JobState::Live, Some(&origin)));
+    let tombstone = JobRecord::tombstone(2, origin.clone());
+    assert_eq!((tombstone.state, tombstone.origin), (JobState::Cancelled, Some(origin)));
+    let lease = serde_json::to_value(CellLease { until_ms: 5, revision: 6 }).unwrap();
+    assert_eq!(lease, json!({"u": 5, "r": 6}));
+}
+
+#[test]
+fn a_message_between_cells_of_another_version_is_passed_over() {
+    let (forwarded, hosted) = (ForwardedState::default(), HostedState::default());
+    let message = CellMessage { cell: "a".into(), term: 1, revision: 2, forwarded, hosted };
+    let mut bytes = message.encode();
+    assert_eq!(CellMessage::decode(&bytes).unwrap(), Some(message));
+    bytes[1] += 1;
+    assert_eq!(CellMessage::decode(&bytes).unwrap(), None);
+    assert!(CellMessage::decode(&[0]).is_err());
+    assert!(CellMessage::decode(&[0, 1, 255, 255, 255]).is_err());
+}
