Cells: a test for the last guard, the revision that a lease rests on

Need: of 21 guards taken out one by one, one failed no test. Change: a late message from before an offer reaches a new leader of the host, which must not give the job up.

--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -7,6 +7,7 @@
 
 use support::cells::Cells;
 use support::job;
+use woadlever_cells::message::CellMessage;
 
 const ORIGIN: usize = 0;
 const HOST: usize = 1;
@@ -459,6 +460,31 @@
     cells.fair();
 }
 
+#[test]
+fn a_late_message_from_before_the_offer_does_not_take_a_running_job_away() {
+    let mut cells = full_origin(2, 250);
+    cells.recorded = Some(((ORIGIN, HOST), Vec::new()));
+    spilled(&mut cells, 4, 60.0);
+    let epoch = cells.record(ORIGIN, JOB).unwrap()["f"]["e"].as_u64().unwrap();
+    let recorded = cells.recorded.take().unwrap().1;
+    // The job was accepted when this was sent, and not forwarded yet.
+    let is_before = |m: &&CellMessage| m.revision > epoch && m.forwarded.jobs.is_empty();
+    let before = recorded.iter().rfind(is_before).unwrap().clone();
+    cells.part(ORIGIN, HOST);
+    let leader = cells.worlds[HOST].leader().unwrap();
+    cells.worlds[HOST].crash(leader, 500);
+    cells.run(5_000);
+    for _ in 0..3 {
+        cells.repeat(HOST, before.clone());
+        cells.run(1_000);
+    }
+    assert_eq!(cells.record(HOST, JOB).unwrap()["s"], "l");
+    cells.join();
+    assert!(cells.until_done(ORIGIN, JOB, 120_000));
+    assert_each_task_started_once(&cells, JOB, 4);
+    cells.fair();
+}
+
 #[test]
 fn the_end_of_a_job_is_not_lost_with_the_hosts_controllers() {
     let mut cells = full_origin(2, 210);
