--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -7,6 +7,7 @@
 
 use support::cells::Cells;
 use support::job;
+use woadlever::config::Operator;
 use woadlever_cells::message::CellMessage;
 
 const ORIGIN: usize = 0;
@@ -485,6 +486,37 @@
     cells.fair();
 }
 
+#[test]
+fn a_cell_that_takes_no_jobs_is_offered_none() {
+    let mut cells = Cells::with_settings(2, 260, "accept=false");
+    cells.worlds[ORIGIN].capacity = 0;
+    cells.run(8_000);
+    cells.accept(ORIGIN, &job(1, "t1", 4, 10.0));
+    cells.run(60_000);
+    assert_eq!(cells.forwarded_to(ORIGIN, JOB), None);
+    cells.worlds[ORIGIN].capacity = 12;
+    assert!(cells.until_done(ORIGIN, JOB, 120_000));
+    assert_each_task_started_once(&cells, JOB, 4);
+    cells.fair();
+}
+
+#[test]
+fn sharing_is_switched_off_and_jobs_come_home() {
+    let mut cells = full_origin(2, 270);
+    spilled(&mut cells, 4, 300.0);
+    cells.worlds[ORIGIN].operator = Operator::default();
+    cells.crash_cell(ORIGIN, 1_000);
+    cells.worlds[ORIGIN].capacity = 12;
+    cells.worlds[ORIGIN].run_ms = 10_000;
+    assert!(cells.until_done(ORIGIN, JOB, 200_000));
+    assert_eq!(cells.starts(ORIGIN, JOB), 4);
+    assert_eq!(cells.record(HOST, JOB).unwrap()["s"], "l", "the host has heard nothing");
+    cells.run(700_000);
+    assert_eq!(cells.record(HOST, JOB).unwrap()["s"], "c");
+    assert_eq!(cells.starts(HOST, JOB), 4);
+    cells.fair();
+}
+
 #[test]
 fn the_end_of_a_job_is_not_lost_with_the_hosts_controllers() {
     let mut cells = full_origin(2, 210);
