The scheduling cycle divided: order, preemption, rooms, zones, quota

Need: grants.rs had 572 lines on five matters, and cells use two of them. Change: a module each; every line of code is as it was.

--- a/src/core/leader/cells/capacity.rs
+++ b/src/core/leader/cells/capacity.rs
@@ -4,7 +4,8 @@
 use crate::core::common::model::{Ms, Res, Spec};
 use crate::core::common::shared::Shared;
 use crate::core::leader::Leader;
-use crate::core::leader::grants::{Class, Rooms, quota_tasks};
+use crate::core::leader::quota::quota_tasks;
+use crate::core::leader::rooms::{Class, Rooms};
 use woadlever_cells::routing::{Amount, ClassCapacity, JobShape};
 
 /// Machines that one call to the cloud rents at most.
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -11,12 +11,17 @@
 pub mod forecast;
 mod grants;
 mod live_jobs;
+mod order;
 mod persistence;
 mod pipelines;
 mod plan;
+mod preemption;
 pub mod progress;
+mod quota;
 mod rebuild;
 mod reconciliation;
+mod rooms;
+mod zones;
 
 use crate::core::common::model::Ms;
 use crate::core::common::shared::{RecordSource, Shared};
--- /dev/null
+++ b/src/core/leader/order.rs
@@ -0,0 +1,116 @@
+//! The order in which waiting jobs are served.
+
+use super::Leader;
+use super::pipelines::Inherited;
+use crate::config::Objective;
+use crate::core::common::model::{JobOrder, Res, Spec};
+use crate::core::common::shared::Shared;
+use rustc_hash::FxHashMap;
+
+/// A job that no aim speaks of is to be started this long after its arrival.
+const DUE_WITHOUT_AIM_S: f64 = 60.0;
+
+impl Leader {
+    /// Jobs with something to run, most pressing first.
+    pub fn order(&mut self, shared: &Shared) -> Vec<u32> {
+        let here = self.jobs.iter().filter(|(_, j)| !j.is_away());
+        // Jobs of other cells come after a team's own.
+        let mut by_age: Vec<(bool, u64, u32)> =
+            here.map(|(ix, j)| (j.is_hosted(), j.ready_ms, *ix)).collect();
+        by_age.sort_unstable();
+        let mut sums = vec![Res::default(); shared.cfg.cluster.teams.len()];
+        let mut within: FxHashMap<u32, bool> = FxHashMap::default();
+        for (_, _, ix) in by_age {
+            let j = &self.jobs[&ix];
+            let t = &shared.cfg.cluster.teams[j.team];
+            let mut need = j.spec.need();
+            let n = f64::from(j.spec.tasks - j.done.len());
+            need.cpus *= n;
+            need.gpus *= n;
+            let sum = &mut sums[j.team];
+            sum.add(&need);
+            within.insert(ix, sum.cpus <= t.cpus + 1e-6 && sum.gpus <= t.gpus + 1e-6);
+        }
+        let heirs = self.heirs(shared);
+        let now = shared.now;
+        let mut list: Vec<(JobOrder, u32)> = Vec::new();
+        let wall = shared.wall;
+        for (ix, j) in &mut self.jobs {
+            let is_paused = j.is_hosted() && shared.must_stop(*ix);
+            if j.hold_until > now || !j.may_be_granted() || is_paused || j.peek().is_none() {
+                continue;
+            }
+            let ratio = self.ratios.get(&j.spec.class).copied().unwrap_or(1.0);
+            let run_s = j.spec.estimate_s * ratio;
+            let age_s = wall.saturating_sub(j.ready_ms) as f64 / 1000.0;
+            let clock =
+                Clock { age_s, waited_s: j.ready_ms.saturating_sub(j.spec.at_ms) as f64 / 1000.0 };
+            let next = next_start(&shared.cfg.cluster.objectives, &j.spec, clock, within[ix], run_s);
+            j.within = within[ix];
+            // What a pipeline's end needs in time, each stage needs the earlier.
+            let heir = heirs.get(ix);
+            j.priority = heir.map_or(j.spec.priority, |h| h.priority);
+            let by = heir.and_then(|h| h.finish_by).map(|by| by - wall as f64 / 1000.0 - run_s);
+            let next = match (next, by.filter(|by| *by >= 0.0)) {
+                (Some(own), Some(by)) => Some(own.min(by)),
+                (own, by) => own.or(by),
+            };
+            let order = JobOrder {
+                priority: std::cmp::Reverse(j.priority),
+                late: next.is_none(),
+                slack_ms: (next.unwrap_or(-age_s) * 1000.0) as i64,
+            };
+            list.push((order, *ix));
+        }
+        list.sort();
+        list.into_iter().map(|(_, ix)| ix).collect()
+    }
+
+    /// What jobs with others behind them inherit from those.
+    fn heirs(&self, shared: &Shared) -> FxHashMap<u32, Inherited> {
+        let mut known = FxHashMap::default();
+        for ix in self.jobs.keys().filter(|ix| !shared.job(**ix).links.after.is_empty()) {
+            self.inherited(shared, *ix, &mut known);
+        }
+        known
+    }
+}
+
+/// A job's times, in seconds: since it could be started, and before that, while it
+/// waited for others. A deadline counts from the submission all the same.
+#[derive(Debug, Clone, Copy)]
+struct Clock {
+    age_s: f64,
+    waited_s: f64,
+}
+
+/// Seconds until the next aim for which the job can still be started in time;
+/// none when all are missed. Serving work that is late already before work
+/// that can still make it would only make both late.
+fn next_start(
+    objectives: &[Objective],
+    spec: &Spec,
+    clock: Clock,
+    within: bool,
+    run_s: f64,
+) -> Option<f64> {
+    let own = objectives.iter().filter(|o| o.class.as_ref().is_none_or(|c| *c == spec.class));
+    let mut best: Option<f64> = None;
+    let mut any = false;
+    for o in own {
+        let at = match o.kind.as_str() {
+            "deadline" => spec.deadline_s.map(|d| d * o.times.unwrap_or(1.0) - clock.waited_s - run_s),
+            "finished" => o.within_s.map(|w| w - run_s),
+            "wait" => o.within_s,
+            "guarantee" if within => o.within_s,
+            _ => None,
+        };
+        let Some(at) = at else { continue };
+        any = true;
+        let left = at - clock.age_s;
+        if left >= 0.0 && best.is_none_or(|b| left < b) {
+            best = Some(left);
+        }
+    }
+    if any { best } else { Some(DUE_WITHOUT_AIM_S - clock.age_s) }
+}
--- a/src/core/leader/plan.rs
+++ b/src/core/leader/plan.rs
@@ -3,7 +3,9 @@
 
 use super::Leader;
 use super::fleet::{Offer, Phase, kind_name};
-use super::grants::{Rooms, Zones, may_use, quota_tasks};
+use super::quota::quota_tasks;
+use super::rooms::{Rooms, may_use};
+use super::zones::Zones;
 use crate::core::common::model::{Res, Spec};
 use crate::core::common::shared::Shared;
 use crate::core::common::window::allowed;
--- /dev/null
+++ b/src/core/leader/rooms.rs
@@ -0,0 +1,157 @@
+//! Free room on machines, by class of machine.
+
+use super::Leader;
+use super::zones::Zones;
+use crate::core::common::model::{Res, Spec};
+use crate::core::common::shared::Shared;
+use crate::core::common::window::{allowed, fit_score};
+use rustc_hash::FxHashMap;
+
+/// Machines that are alike to a job: same type, zone and kind.
+#[derive(Debug, Clone)]
+pub struct Class {
+    pub kind: usize,
+    pub zone: String,
+    pub spot: bool,
+    pub total: Res,
+    rooms: Vec<usize>,
+    /// No room of this class has more free than this.
+    most: Res,
+}
+
+/// Free room of one machine, as far as the leader knows.
+#[derive(Debug, Clone)]
+pub struct Room {
+    pub machine: u32,
+    pub block: u32,
+    pub class: usize,
+    pub free: Res,
+}
+
+/// All rooms by class, so that a job looks at what it may use and nothing
+/// else: with thousands of machines full, most jobs look at no room at all.
+#[derive(Debug, Clone, Default)]
+pub struct Rooms {
+    pub classes: Vec<Class>,
+    pub list: Vec<Room>,
+}
+
+impl Rooms {
+    /// The class of machines of a type, zone and kind.
+    pub fn class_of(&mut self, kind: usize, zone: &str, spot: bool, total: Res) -> usize {
+        let found = self.classes.iter().position(|c| c.kind == kind && c.spot == spot && c.zone == zone);
+        found.unwrap_or_else(|| {
+            let most = Res::default();
+            let zone = zone.to_string();
+            self.classes.push(Class { kind, zone, spot, total, rooms: Vec::new(), most });
+            self.classes.len() - 1
+        })
+    }
+
+    /// Adds a room (machine, block, free) to its class.
+    pub fn push_to(&mut self, class: usize, room: (u32, u32, Res)) {
+        let (machine, block, free) = room;
+        let c = &mut self.classes[class];
+        c.rooms.push(self.list.len());
+        c.most = c.most.max(&free);
+        self.list.push(Room { machine, block, class, free });
+    }
+
+    /// Adds a room (machine, block, free).
+    pub fn push(&mut self, kind: usize, zone: &str, spot: bool, total: Res, room: (u32, u32, Res)) {
+        let class = self.class_of(kind, zone, spot, total);
+        self.push_to(class, room);
+    }
+
+    /// Rooms with place for one task, of the classes that will do.
+    pub fn with_place(&mut self, need: &Res, will_do: impl Fn(&Class) -> bool) -> Vec<usize> {
+        let mut out = Vec::new();
+        for c in &mut self.classes {
+            if !need.fits(&c.most) || !will_do(c) {
+                continue;
+            }
+            c.most = Res::default();
+            for &i in &c.rooms {
+                let free = &self.list[i].free;
+                c.most = c.most.max(free);
+                if need.fits(free) {
+                    out.push(i);
+                }
+            }
+        }
+        out
+    }
+
+    pub fn class(&self, room: usize) -> &Class {
+        &self.classes[self.list[room].class]
+    }
+}
+
+/// Whether a job may use machines of this class.
+pub fn may_use(shared: &Shared, spec: &Spec, c: &Class) -> bool {
+    shared.types.get(c.kind).is_some_and(|t| allowed(spec, &t.name, &c.zone, c.spot))
+        && spec.need().fits(&c.total)
+}
+
+impl Leader {
+    /// Machines that may get tasks now, with what is free on them.
+    pub fn rooms(&self, shared: &Shared) -> Rooms {
+        let mut used: FxHashMap<u32, Res> = FxHashMap::default();
+        for a in self.attempts.values().filter(|a| a.counts()) {
+            if let Some(m) = a.machine {
+                used.entry(m).or_default().add(&a.need);
+            }
+        }
+        let mut out = Rooms::default();
+        for (ix, m) in self.fleet.machines.iter() {
+            let Some(b) = self.blocks.get(m.block as usize) else { continue };
+            if !b.shown || !m.takes_tasks(shared) {
+                continue;
+            }
+            let Some(t) = shared.types.get(m.kind) else { continue };
+            let mut free = t.room;
+            if let Some(u) = used.get(&ix) {
+                free.sub(u);
+            }
+            out.push(m.kind, &m.zone, m.spot, t.room, (ix, m.block, free));
+        }
+        out
+    }
+}
+
+/// Keeps the machine with the most room for a starving job that fits
+/// nowhere: small tasks would refill it for ever.
+pub fn reserve(shared: &Shared, rooms: &mut Rooms, spec: &Spec, zones: &Zones) {
+    let will_do: Vec<bool> =
+        rooms.classes.iter().map(|c| may_use(shared, spec, c) && zones.allows(&c.zone)).collect();
+    let free = |r: &Room| {
+        let total = rooms.classes[r.class].total;
+        1.0 - r.free.share_of(&total)
+    };
+    let best = (0..rooms.list.len())
+        .filter(|i| will_do[rooms.list[*i].class])
+        .min_by(|a, b| free(&rooms.list[*a]).total_cmp(&free(&rooms.list[*b])));
+    let Some(r) = best.map(|i| &mut rooms.list[i]) else { return };
+    r.free = Res::default();
+}
+
+/// Rooms for the job's tasks, best fit first.
+pub fn best_rooms(shared: &Shared, rooms: &mut Rooms, spec: &Spec, quota: u32) -> Vec<usize> {
+    if quota == 0 {
+        return Vec::new();
+    }
+    let need = spec.need();
+    let mut scored: Vec<(f64, usize)> = rooms
+        .with_place(&need, |c| may_use(shared, spec, c))
+        .into_iter()
+        .map(|i| {
+            let c = rooms.class(i);
+            let wastes = spec.spot && !c.spot;
+            let score = fit_score(&need, &rooms.list[i].free, &c.total, wastes, true);
+            let score = score + shared.scarcity(c.kind);
+            (score, i)
+        })
+        .collect();
+    scored.sort_by(|a, b| a.0.total_cmp(&b.0));
+    scored.into_iter().map(|(_, i)| i).collect()
+}
