Cells: the report draws moves; the room told to others grows with the fleet; refusals count once

Need: operators should see what moved and what came back. A move of 4,000 machines' work stalled: the room told to other cells stood at 50 machines of a kind, and jobs that were refused together paused the cell for minutes.

--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -14,10 +14,12 @@
 //!
 //! Cells exchange whole states ([`message`]); a lost, repeated or late message is made
 //! good by the next one. [`origin`] and [`host`] decide the steps of the two sides,
-//! [`neighbor`] what is known of another cell, [`routing`] which cell a job goes to.
+//! [`neighbor`] what is known of another cell, [`routing`] which cell a job goes to,
+//! [`event`] what is logged.
 //!
 //! Nothing here reads a clock, a socket or a store.
 
+pub mod event;
 pub mod host;
 pub mod lease;
 pub mod message;
--- a/crates/cells/src/neighbor.rs
+++ b/crates/cells/src/neighbor.rs
@@ -110,7 +110,11 @@
     }
 
     /// It refused a job: it is asked again later, the later the more often it refused.
+    /// Jobs that were offered together are refused together, which counts once.
     pub fn note_refusal(&mut self, now: Millis, retry_after_ms: Millis) {
+        if now < self.offer_after {
+            return;
+        }
         let factor = 1 << self.refusals.min(MAX_DOUBLINGS);
         self.refusals += 1;
         let pause = retry_after_ms.saturating_mul(factor).min(MAX_BACKOFF_MS);
--- a/crates/cells/tests/decisions.rs
+++ b/crates/cells/tests/decisions.rs
@@ -117,6 +117,14 @@
     }
     assert!(pauses.windows(2).all(|pair| pair[0] <= pair[1]), "{pauses:?}");
     assert!(pauses[7] >= 60_000 && pauses[7] <= 121_000, "{pauses:?}");
+    let together = now;
+    neighbor.note_success();
+    for _ in 0..8 {
+        neighbor.note_refusal(together, 1_000);
+    }
+    assert!(!neighbor.may_be_offered(together, u64::MAX));
+    assert!(neighbor.may_be_offered(together + 1_000, u64::MAX), "refused together, counted once");
+    now += 1_000;
     neighbor.note_success();
     neighbor.note_refusal(now, 1_000);
     assert!(neighbor.may_be_offered(now + 1_000, u64::MAX));
--- a/crates/recovery-report/src/history.rs
+++ b/crates/recovery-report/src/history.rs
@@ -1,6 +1,7 @@
 //! What the lines of all logs say together.
 
 use crate::log_line::{self, Event, LineError, Shed};
+use crate::moves::{Move, Moves};
 use std::collections::BTreeMap;
 use thiserror::Error;
 use woadlever_recovery::block::{BlockPhase, Tally};
@@ -18,8 +19,8 @@
         /// What is wrong with it.
         why: LineError,
     },
-    /// No line in any log is about recovery.
-    #[error("no line about recovery in {0}")]
+    /// No line in any log is about recovery or cells.
+    #[error("no line about recovery or cells in {0}")]
     NothingFound(String),
 }
 
@@ -51,6 +52,8 @@
     pub recoveries: Vec<Recovery>,
     /// What was shed, with the log and the time.
     pub shed: Vec<(String, i64, Shed)>,
+    /// Jobs that moved between cells, in the order in which they began to.
+    pub moves: Vec<Move>,
     /// Time of the last line.
     pub end_ms: i64,
 }
@@ -60,6 +63,7 @@
     pub fn read(logs: &[(String, String)]) -> Result<History, HistoryError> {
         let mut recoveries: BTreeMap<(String, String, u64), Recovery> = BTreeMap::new();
         let mut history = History::default();
+        let mut moves = Moves::default();
         let mut first: Option<i64> = None;
         for (log, text) in logs {
             for (index, line) in text.lines().enumerate() {
@@ -73,6 +77,7 @@
                 history.end_ms = history.end_ms.max(line.at_ms);
                 match line.event {
                     Event::Shed(shed) => history.shed.push((log.clone(), line.at_ms, shed)),
+                    Event::Move(step) => moves.add(line.at_ms, &step),
                     Event::Phase(entered) => {
                         let key = (log.clone(), entered.block.clone(), entered.grant);
                         let granted_ms = line.at_ms - entered.age_ms as i64;
@@ -98,12 +103,14 @@
             }
         }
         history.recoveries = recoveries.into_values().collect();
-        if history.recoveries.is_empty() {
+        if history.recoveries.is_empty() && moves.is_empty() {
             let names: Vec<&str> = logs.iter().map(|(name, _)| name.as_str()).collect();
             return Err(HistoryError::NothingFound(names.join(", ")));
         }
         let earliest = history.recoveries.iter().map(|recovery| recovery.granted_ms).min();
-        history.count_from(earliest.into_iter().chain(first).min().unwrap_or(0));
+        let start = earliest.into_iter().chain(first).min().unwrap_or(0);
+        history.count_from(start);
+        history.moves = moves.into_list(start);
         Ok(history)
     }
 
--- a/crates/recovery-report/src/lib.rs
+++ b/crates/recovery-report/src/lib.rs
@@ -1,9 +1,11 @@
 //! Reads the logs of a cluster's nodes and tells on one HTML page how recoveries went
-//! and what was shed under overload.
+//! what was shed under overload, and which jobs moved between cells.
 //!
-//! [`log_line`] reads one line, [`history`] gathers what all lines say, [`page`] draws
+//! [`log_line`] reads one line, [`history`] gathers what all lines say ([`moves`] of jobs
+//! between cells, for one), [`page`] draws
 //! it. Nothing here reads or writes a file.
 
 pub mod history;
 pub mod log_line;
+pub mod moves;
 pub mod page;
--- a/crates/recovery-report/src/log_line.rs
+++ b/crates/recovery-report/src/log_line.rs
@@ -4,15 +4,17 @@
 use thiserror::Error;
 use time::OffsetDateTime;
 use time::format_description::well_known::Rfc3339;
+use woadlever_cells::event::MoveEvent;
 use woadlever_overload::class::RequestClass;
 use woadlever_recovery::block::{BlockPhase, Tally};
 
 /// Version of the fields that this program reads.
 pub const FORMAT: u64 = 1;
 const RECOVERY_TARGET: &str = " woadlever::recovery: ";
+const CELLS_TARGET: &str = " woadlever::cells: ";
 const OVERLOAD_TARGET: &str = " woadlever::overload: ";
 
-/// Why a line of recovery or overload can't be used.
+/// Why a line of recovery, overload or cells can't be used.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum LineError {
     /// The line does not begin with a time.
@@ -58,6 +60,19 @@
     pub turned_away: [u64; RequestClass::ALL.len()],
 }
 
+/// A step of a job that moves between cells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveStep {
+    /// Id of the job.
+    pub job: String,
+    /// The other cell.
+    pub cell: String,
+    /// Epoch of the forwarding.
+    pub epoch: u64,
+    /// What was put on record.
+    pub event: MoveEvent,
+}
+
 /// What a line tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -65,9 +80,11 @@
     Phase(PhaseEntered),
     /// About overload.
     Shed(Shed),
+    /// About cells.
+    Move(MoveStep),
 }
 
-/// A line about recovery or overload.
+/// A line about recovery, overload or cells.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogLine {
     /// Time of day in milliseconds.
@@ -106,6 +123,8 @@
             (head, fields, read_phase)
         } else if let Some((head, fields)) = line.split_once(OVERLOAD_TARGET) {
             (head, fields, read_shed)
+        } else if let Some((head, fields)) = line.split_once(CELLS_TARGET) {
+            (head, fields, read_move)
         } else {
             return Ok(None);
         };
@@ -137,6 +156,15 @@
     }))
 }
 
+fn read_move(fields: &Fields) -> Result<Event, LineError> {
+    Ok(Event::Move(MoveStep {
+        job: fields.text("job")?.to_string(),
+        cell: fields.text("cell")?.to_string(),
+        epoch: fields.number("epoch")?,
+        event: MoveEvent::from_name(fields.text("event")?).ok_or(LineError::BadField("event"))?,
+    }))
+}
+
 fn read_shed(fields: &Fields) -> Result<Event, LineError> {
     let names = ["probes", "reports", "cancellations", "submissions", "questions"];
     let mut turned_away = [0; RequestClass::ALL.len()];
--- a/crates/recovery-report/src/page.rs
+++ b/crates/recovery-report/src/page.rs
@@ -1,12 +1,17 @@
 //! The page.
 
 use crate::history::{History, Recovery};
+use crate::moves::{Move, Outcome};
 use maud::{DOCTYPE, Markup, PreEscaped, html};
 use plotters::prelude::*;
+use woadlever_cells::event::MoveEvent;
 use woadlever_overload::class::RequestClass;
 
 const WIDTH: u32 = 960;
 const ROW_HEIGHT: u32 = 22;
+const MOVE_HEIGHT: u32 = 14;
+const OUTCOME_COLORS: [RGBColor; Outcome::ALL.len()] =
+    [RGBColor(70, 160, 110), RGBColor(220, 150, 50), RGBColor(200, 60, 60), RGBColor(110, 110, 110)];
 const PLOT_HEIGHT: u32 = 280;
 /// Recoveries drawn on the timeline; the table lists all.
 const MOST_ROWS: usize = 80;
@@ -35,6 +40,13 @@
         let lag = svg(PLOT_HEIGHT, |area| draw_lag(history, area))?;
         html! { (by_class) (lag) }
     };
+    let moves = if history.moves.is_empty() {
+        html! { p { "None." } }
+    } else {
+        let height = PLOT_HEIGHT.max(MOVE_HEIGHT * shown_moves(history).len() as u32 + 90);
+        let timeline = svg(height, |area| draw_moves(history, area))?;
+        html! { (move_summary(history)) (timeline) (move_table(history)) }
+    };
     let page = html! {
         (DOCTYPE)
         html lang="en" {
@@ -55,6 +67,8 @@
                 (shed)
                 h2 { "All recoveries" }
                 (table(history))
+                h2 { "Jobs that moved between cells" }
+                (moves)
             }
         }
     };
@@ -82,6 +96,84 @@
     }
 }
 
+fn shown_moves(history: &History) -> &[Move] {
+    &history.moves[..history.moves.len().min(MOST_ROWS)]
+}
+
+/// How many moves ended how, and how long those took that were done elsewhere.
+fn move_summary(history: &History) -> Markup {
+    let count = |outcome| history.moves.iter().filter(|m| m.outcome().0 == outcome).count();
+    let took = |m: &Move| m.outcome().1.map(|end| end - m.began_ms());
+    html! {
+        p {
+            (history.moves.len()) " moves"
+            @for outcome in Outcome::ALL {
+                ", " (count(outcome)) " " (outcome.name())
+            }
+            @if let Some(longest) = history.moves.iter().filter_map(took).max() {
+                ", the longest over after " (seconds(longest))
+            }
+            "."
+        }
+    }
+}
+
+fn move_table(history: &History) -> Markup {
+    let at =
+        |m: &Move, event| m.steps.get(&event).map_or("never".into(), |at| seconds(at - m.began_ms()));
+    html! {
+        table {
+            tr {
+                th { "job" } th { "cell" } th { "forwarded at" } th { "accepted after" }
+                th { "recalled" } th { "ended" } th { "over after" }
+            }
+            @for m in &history.moves {
+                @let (outcome, end) = m.outcome();
+                tr {
+                    td { (m.job) } td { (m.cell) } td { (seconds(m.began_ms())) }
+                    td { (at(m, MoveEvent::Accepted)) }
+                    td { (m.recall().map_or("", MoveEvent::name)) }
+                    td class=[(outcome == Outcome::Open).then_some("open")] { (outcome.name()) }
+                    td { (end.map_or("never".into(), |end| seconds(end - m.began_ms()))) }
+                }
+            }
+        }
+    }
+}
+
+fn draw_moves(history: &History, area: &DrawingArea<SVGBackend, plotters::coord::Shift>) -> Drawn {
+    let shown = shown_moves(history);
+    let end_s = (history.end_ms as f64 / 1_000.0).max(0.1);
+    let name = |row: &i32| shown.get(*row as usize).map_or(String::new(), |m| m.job.clone());
+    let mut chart = ChartBuilder::on(area)
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(120)
+        .build_cartesian_2d(0.0..end_s, 0..shown.len() as i32)?;
+    chart
+        .configure_mesh()
+        .disable_y_mesh()
+        .y_labels(shown.len())
+        .y_label_formatter(&name)
+        .x_desc("seconds")
+        .draw()?;
+    let second = |ms: i64| ms as f64 / 1_000.0;
+    for (outcome, color) in Outcome::ALL.into_iter().zip(OUTCOME_COLORS) {
+        let rows = shown.iter().enumerate().filter(|(_, m)| m.outcome().0 == outcome);
+        let bars = rows.map(|(row, m)| {
+            let end = m.outcome().1.unwrap_or(history.end_ms);
+            let corners = [(second(m.began_ms()), row as i32), (second(end), row as i32 + 1)];
+            Rectangle::new(corners, color.filled())
+        });
+        chart
+            .draw_series(bars)?
+            .label(outcome.name())
+            .legend(move |(x, y)| Circle::new((x + 8, y), 4, color.filled()));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    Ok(())
+}
+
 fn took_ms(recovery: &Recovery) -> Option<i64> {
     recovery.squared_ms.map(|at| at - recovery.granted_ms)
 }
--- a/crates/recovery-report/tests/report.rs
+++ b/crates/recovery-report/tests/report.rs
@@ -4,9 +4,11 @@
 
 use std::path::PathBuf;
 use std::process::{Command, Output};
+use woadlever_cells::event::MoveEvent;
 use woadlever_recovery::block::Tally;
 use woadlever_recovery_report::history::{History, HistoryError};
 use woadlever_recovery_report::log_line::LineError;
+use woadlever_recovery_report::moves::Outcome;
 use woadlever_recovery_report::page;
 
 const LOG: &str = "\
@@ -66,6 +68,37 @@
     assert_eq!(nothing, Err(HistoryError::NothingFound("n0.log".into())));
 }
 
+const CELL_LOG: &str = "\
+2026-12-02T10:00:00.000000Z  INFO woadlever::cells: move format=1 job=\"run-000001\" cell=\"b\" epoch=9 event=\"forwarded\"
+2026-12-02T10:00:00.000000Z  INFO woadlever::cells: move format=1 job=\"run-000002\" cell=\"b\" epoch=10 event=\"forwarded\"
+2026-12-02T10:00:09.000000Z  INFO woadlever::cells: move format=1 job=\"run-000001\" cell=\"b\" epoch=9 event=\"done\"
+2026-12-02T10:00:12.000000Z  INFO woadlever::cells: move format=1 job=\"run-000002\" cell=\"b\" epoch=10 event=\"recalled_silent\"
+2026-12-02T10:00:52.000000Z  INFO woadlever::cells: move format=1 job=\"run-000002\" cell=\"b\" epoch=10 event=\"reclaimed\"
+";
+
+#[test]
+fn a_move_is_told_from_the_logs_of_both_cells() {
+    let host = CELL_LOG
+        .lines()
+        .next()
+        .unwrap()
+        .replace("10:00:00", "10:00:01")
+        .replace("cell=\"b\"", "cell=\"a\"")
+        .replace("forwarded", "accepted");
+    let logs = [("b.log".to_string(), host), ("a.log".to_string(), CELL_LOG.to_string())];
+    let history = History::read(&logs).unwrap();
+    let [done, lost] = history.moves.as_slice() else { panic!("two moves") };
+    assert_eq!((done.cell.as_str(), done.outcome()), ("b", (Outcome::Done, Some(9_000))));
+    assert_eq!(done.steps[&MoveEvent::Accepted], 1_000);
+    assert_eq!(lost.outcome(), (Outcome::Reclaimed, Some(52_000)));
+    assert_eq!(lost.recall(), Some(MoveEvent::RecalledSilent));
+    let page = page::render(&history).unwrap();
+    assert!(page.contains("1 done there, 0 came back, 1 taken back from a silent cell, 0 not over"));
+    let refused =
+        History::read(&self::logs(&CELL_LOG.replace("epoch=9 event=\"done\"", "epoch=9 event=\"x\"")));
+    assert!(matches!(refused, Err(HistoryError::Line { line: 3, .. })));
+}
+
 fn run(dir: &PathBuf, text: &str) -> Output {
     std::fs::create_dir_all(dir).unwrap();
     std::fs::write(dir.join("n0.log"), text).unwrap();
--- a/src/core/common/shared.rs
+++ b/src/core/common/shared.rs
@@ -508,8 +508,11 @@
         }
         self.scarce_at = self.now + SCARCE_EVERY_MS;
         let mut found = FxHashSet::default();
-        for spec in
-            self.jobs.values().filter(|j| j.state == JobState::Live).filter_map(|j| j.spec.as_ref())
+        for spec in self
+            .jobs
+            .values()
+            .filter(|j| j.state == JobState::Live && !j.is_away())
+            .filter_map(|j| j.spec.as_ref())
         {
             let mut kinds = self.kinds_for(spec);
             if let (Some(only), None) = (kinds.next(), kinds.next()) {
--- a/src/core/leader/cells/capacity.rs
+++ b/src/core/leader/cells/capacity.rs
@@ -8,8 +8,9 @@
 use crate::core::leader::rooms::{Class, Rooms};
 use woadlever_cells::routing::{Amount, ClassCapacity, JobShape};
 
-/// Machines that one call to the cloud rents at most.
-const MAX_RENTS: u32 = 50;
+/// Machines of each class that may be rented, as is told to other cells, at the least: as
+/// many as one call asks for. A larger fleet is taken to be able to double.
+const MIN_RENTABLE: u32 = 50;
 /// Pause between two looks at all machines; more where there are many.
 const REFRESH_MS: Ms = 1_000;
 
@@ -40,7 +41,8 @@
         if !shared.op.cells.accept || shared.types.is_empty() {
             return;
         }
-        self.capacity = free_room(leader, shared);
+        let machines = MIN_RENTABLE.max(leader.fleet.machines.len() as u32);
+        self.capacity = room_to_come(leader, shared, machines);
         for (job, tasks) in &leader.fleet.waiting {
             let Some(job) = leader.jobs.get(job) else { continue };
             let waiting = JobShape { tasks: *tasks, ..shape_of(&job.spec) };
@@ -58,20 +60,10 @@
     }
 }
 
-/// Room by class: free on machines that may get tasks now, and on machines that the cloud
-/// may still have.
-fn free_room(leader: &Leader, shared: &Shared) -> Vec<ClassCapacity> {
-    let mut capacity = rentable_room(leader, shared);
-    add_rooms(shared, &leader.rooms(shared), &mut capacity);
-    capacity
-}
-
-/// Room by class that is free, or on machines that boot or are asked for.
-pub(super) fn room_to_come(leader: &Leader, shared: &Shared) -> Vec<ClassCapacity> {
-    let mut capacity = rentable_room(leader, shared);
-    for class in &mut capacity {
-        class.rentable = 0;
-    }
+/// Room by class that is free, or on machines that boot or are asked for, and so many
+/// machines to be rented beside them where the cloud has not refused some a moment ago.
+pub(super) fn room_to_come(leader: &Leader, shared: &Shared, rentable: u32) -> Vec<ClassCapacity> {
+    let mut capacity = rentable_room(leader, shared, rentable);
     add_rooms(shared, &leader.rooms_to_come(shared), &mut capacity);
     capacity
 }
@@ -97,9 +89,8 @@
     }
 }
 
-/// Machines that the cloud may have: as many of each class as one call asks for, unless
-/// it has refused some a moment ago.
-fn rentable_room(leader: &Leader, shared: &Shared) -> Vec<ClassCapacity> {
+/// Machines that the cloud may have, by class.
+fn rentable_room(leader: &Leader, shared: &Shared, rentable: u32) -> Vec<ClassCapacity> {
     let mut capacity = Vec::new();
     for (kind, machine_type) in shared.types.iter().enumerate() {
         for zone in &machine_type.zones {
@@ -113,7 +104,7 @@
                     machine: amount(&machine_type.room),
                     free: Amount::default(),
                     largest: Amount::default(),
-                    rentable: if is_refused { 0 } else { MAX_RENTS },
+                    rentable: if is_refused { 0 } else { rentable },
                 });
             }
         }
--- a/src/core/leader/cells/host.rs
+++ b/src/core/leader/cells/host.rs
@@ -1,7 +1,7 @@
 //! Jobs of other cells that this one hosts: accepted, run under a lease, given back.
 
 use super::capacity::shape_of;
-use super::{CellCall, Cells, Creation, RECORD_SLACK, RETRY_MS};
+use super::{CellCall, Cells, Creation, RECORD_SLACK, RETRY_MS, log_record};
 use crate::core::common::cell_leases::cell_lease_key;
 use crate::core::common::feasibility::can_run;
 use crate::core::common::model::{Ms, Spec};
@@ -15,16 +15,18 @@
 use crate::wire::state::{Change, Cond, JobRecord, JobState, Txn};
 use crate::wire::users::{MAX_TASKS, valid_id};
 use rustc_hash::FxHashMap;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use woadlever_cells::event::MoveEvent;
 use woadlever_cells::host::{Admission, HostRecord, HostStep, Listing, decide, may_extend_lease};
 use woadlever_cells::message::{FOR_GOOD, ForwardedJob, ForwardedState, HostedJob};
+use woadlever_cells::neighbor::Neighbor;
 use woadlever_cells::record::{CellLease, Origin};
 
 /// A lease is written anew when the origin has extended it by this much, so that it costs
 /// one change in some seconds whatever the number of jobs.
 const LEASE_STEP_MS: Ms = 4_000;
 /// Time after which an origin should offer a job again.
-const REFUSED_MS: Ms = 10_000;
+const REFUSED_MS: Ms = 5_000;
 
 /// Bits of tasks that are done, in one message: a quarter of what a frame takes. Jobs for
 /// which none are left are told of without them, until they are done.
@@ -40,6 +42,7 @@
     /// Follows what each other cell has forwarded to this one.
     pub(super) fn follow_hosted(&mut self, leader: &mut Leader, shared: &mut Shared) {
         let running = running_by_job(leader);
+        self.forget_creations();
         for cell in self.neighbors.keys().cloned().collect::<Vec<_>>() {
             let Some((forwarded, revision)) = self.neighbors[&cell].forwarded() else { continue };
             // Composed before the one that the lease on record rests on.
@@ -62,6 +65,14 @@
         }
     }
 
+    /// Lets go of records that were not written in time and that nobody lists any more.
+    fn forget_creations(&mut self) {
+        let neighbors = self.neighbors.values().filter_map(Neighbor::forwarded);
+        let listed: HashSet<&str> =
+            neighbors.flat_map(|(state, _)| &state.jobs).map(|job| job.id.as_str()).collect();
+        self.creations.retain(|id, creation| creation.in_flight || listed.contains(id.as_str()));
+    }
+
     /// Withdraws hosted jobs whose cell has not been heard for very long, or is no longer
     /// named in the settings.
     pub(super) fn abandon(&mut self, leader: &mut Leader, shared: &mut Shared) {
@@ -100,7 +111,7 @@
             // Some tasks are then run again by the origin.
             record = JobRecord::tombstone(tasks, origin);
         }
-        self.change_record(leader, shared, index, record);
+        self.change_record(leader, shared, index, record, MoveEvent::Withdrawn);
     }
 
     /// A job that the newest message lists: what is written, and what the origin is told.
@@ -194,7 +205,6 @@
             changes: vec![Change::Put { key, value, lease: None }],
         };
         self.creations.insert(job.id.clone(), Creation { in_flight: true, retry_at: 0 });
-        tracing::info!(job = job.id, cell, state = ?record.state, "job of another cell");
         let call = CellCall::Create { id: job.id.clone(), record: Box::new(record) };
         shared.state_call(Purpose::Leader(LeaderCall::Cells(call)), StateOp::Txn(txn));
     }
@@ -209,6 +219,9 @@
         match result {
             StateResult::Done { revision } => {
                 self.creations.remove(&id);
+                let is_live = record.state == JobState::Live;
+                let event = if is_live { MoveEvent::Accepted } else { MoveEvent::Withdrawn };
+                log_record(&id, &record, event);
                 shared.put_job(&id, record, revision, RecordSource::Single);
             }
             StateResult::Failed(_) => {
--- a/src/core/leader/cells/mod.rs
+++ b/src/core/leader/cells/mod.rs
@@ -8,6 +8,7 @@
 mod host;
 mod origin;
 
+use super::live_jobs::LiveJob;
 use super::{Leader, LeaderCall};
 use crate::core::common::model::{Ms, Res};
 use crate::core::common::shared::{Pace, RecordSource, Shared};
@@ -17,6 +18,7 @@
 use crate::wire::state::{Change, Cond, JobRecord, Txn};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, HashMap};
+use woadlever_cells::event::{LOG_FORMAT, LOG_TARGET, MoveEvent};
 use woadlever_cells::message::{CellMessage, HostedJob, HostedState};
 use woadlever_cells::neighbor::Neighbor;
 use woadlever_cells::record::CellLease;
@@ -39,8 +41,8 @@
 pub enum CellCall {
     /// A job begins to be forwarded.
     Forward { job: u32 },
-    /// A change of a job's record after that.
-    Change { job: u32, record: Box<JobRecord> },
+    /// A change of a job's record after that; what it means.
+    Change { job: u32, record: Box<JobRecord>, event: MoveEvent },
     /// The first record of another cell's job: accepted, or a tombstone.
     Create { id: String, record: Box<JobRecord> },
     /// The lease of another cell.
@@ -110,21 +112,36 @@
     }
 
     /// Changes the record of a job, under its version and this leader's term.
-    fn change_record(&mut self, leader: &Leader, shared: &mut Shared, job: u32, record: JobRecord) {
+    fn change_record(
+        &mut self,
+        leader: &Leader,
+        shared: &mut Shared,
+        job: u32,
+        record: JobRecord,
+        event: MoveEvent,
+    ) {
         let due = self.change_after.get(&job).is_none_or(|at| shared.now >= *at);
         if !due || !shared.can_write(1) {
             return;
         }
         self.change_after.insert(job, Ms::MAX);
         let txn = record_change(leader, shared, job, &record);
-        let call = CellCall::Change { job, record: Box::new(record) };
+        let call = CellCall::Change { job, record: Box::new(record), event };
         shared.state_call(Purpose::Leader(LeaderCall::Cells(call)), StateOp::Txn(txn));
     }
 
-    fn on_changed(&mut self, shared: &mut Shared, job: u32, record: JobRecord, result: StateResult) {
+    fn on_changed(
+        &mut self,
+        shared: &mut Shared,
+        job: u32,
+        record: JobRecord,
+        event: MoveEvent,
+        result: StateResult,
+    ) {
         if let StateResult::Done { revision } = result {
             self.change_after.remove(&job);
             let id = shared.jobs.id(job).to_string();
+            log_record(&id, &record, event);
             shared.put_job(&id, record, revision, RecordSource::Single);
         } else {
             let pause = shared.retry_ms(RETRY_MS);
@@ -132,6 +149,13 @@
         }
     }
 
+    /// Lets go of jobs that are over.
+    fn forget(&mut self, leader: &Leader) {
+        let jobs = &leader.jobs;
+        self.change_after.retain(|job, at| *at == Ms::MAX || jobs.contains_key(job));
+        self.observed.retain(|job, _| jobs.get(job).is_some_and(LiveJob::is_away));
+    }
+
     /// What is done only while load is shared.
     fn share_load(&mut self, leader: &mut Leader, shared: &mut Shared) {
         if shared.now >= self.capacity_at {
@@ -165,6 +189,20 @@
     }
 }
 
+/// Logs a step of a move (crates/recovery-report reads it).
+fn log_move(job: &str, cell: &str, epoch: u64, event: MoveEvent) {
+    tracing::info!(target: LOG_TARGET, format = LOG_FORMAT, job, cell, epoch, event = event.name(), "move");
+}
+
+/// The same for a record that has just been written.
+fn log_record(job: &str, record: &JobRecord, event: MoveEvent) {
+    if let Some(forwarding) = &record.forwarding {
+        log_move(job, &forwarding.cell, forwarding.epoch, event);
+    } else if let Some(origin) = &record.origin {
+        log_move(job, &origin.cell, origin.epoch, event);
+    }
+}
+
 /// A change of a job's record that holds only for the version that is known here.
 fn record_change(leader: &Leader, shared: &Shared, job: u32, record: &JobRecord) -> Txn {
     let key = job_key(shared.jobs.id(job));
@@ -185,6 +223,7 @@
             cells.follow_pending(self, shared);
             cells.follow_forwarded(self, shared);
             cells.abandon(self, shared);
+            cells.forget(self);
             if is_shared {
                 cells.share_load(self, shared);
             }
@@ -207,7 +246,9 @@
         let Some(mut cells) = self.cells.take() else { return };
         match call {
             CellCall::Forward { job } => cells.on_forwarded(shared, job, result),
-            CellCall::Change { job, record } => cells.on_changed(shared, job, *record, result),
+            CellCall::Change { job, record, event } => {
+                cells.on_changed(shared, job, *record, event, result);
+            }
             CellCall::Create { id, record } => cells.on_created(shared, id, *record, result),
             CellCall::Lease { cell, lease } => cells.on_lease_written(shared, cell, lease, result),
         }
--- a/src/core/leader/cells/origin.rs
+++ b/src/core/leader/cells/origin.rs
@@ -1,7 +1,7 @@
 //! Jobs of this cell that others host: forwarded, followed, taken back.
 
 use super::capacity::{self, shape_of};
-use super::{CellCall, Cells, RECORD_SLACK, RETRY_MS, record_change};
+use super::{CellCall, Cells, RECORD_SLACK, RETRY_MS, log_move, log_record, record_change};
 use crate::core::common::model::{Ms, Spec};
 use crate::core::common::shared::{RecordSource, Shared};
 use crate::core::leader::live_jobs::{CellStanding, LiveJob};
@@ -10,6 +10,7 @@
 use crate::wire::encoded::Encoded;
 use crate::wire::state::{JobRecord, JobState};
 use std::collections::BTreeMap;
+use woadlever_cells::event::MoveEvent;
 use woadlever_cells::message::{
     CellMessage, FOR_GOOD, ForwardedJob, ForwardedState, HostedJob, HostedPhase,
 };
@@ -84,7 +85,12 @@
         job.take_done_elsewhere(&reported.done);
         let mut running_now = 0;
         match reported.phase {
-            HostedPhase::Done => job.take_all_done_elsewhere(),
+            HostedPhase::Done => {
+                if job.done.len() < job.spec.tasks {
+                    log_move(&reported.id, cell, reported.epoch, MoveEvent::Done);
+                }
+                job.take_all_done_elsewhere();
+            }
             HostedPhase::Live { running, .. } => running_now = running,
             HostedPhase::Refused { .. } | HostedPhase::Released => {}
         }
@@ -147,7 +153,7 @@
                 *hosted_by.entry(forwarding.cell.clone()).or_default() += 1;
             }
         }
-        let mut to_come = capacity::room_to_come(leader, shared);
+        let mut to_come = capacity::room_to_come(leader, shared, 0);
         let waiting: Vec<u32> = leader.fleet.waiting.iter().map(|(job, _)| *job).collect();
         for index in waiting {
             let Some(job) = leader.jobs.get(&index) else { continue };
@@ -209,7 +215,6 @@
         if Encoded::new(&record).len() + RECORD_SLACK > shared.cfg.cluster.state.value_bytes() {
             return false;
         }
-        tracing::info!(job = shared.jobs.id(index), cell, "forwarding job");
         if let Some(neighbor) = self.neighbors.get_mut(cell) {
             shape_of(spec).reserve(neighbor.capacity_mut());
         }
@@ -229,6 +234,7 @@
             StateResult::Done { revision } => {
                 let record = pending.record.clone();
                 let id = shared.jobs.id(index).to_string();
+                log_record(&id, &record, MoveEvent::Forwarded);
                 shared.put_job(&id, record, revision, RecordSource::Single);
                 pending.state = ForwardWrite::Superseded;
             }
@@ -267,13 +273,11 @@
 
     /// Takes the next step with each job that another cell hosts.
     pub(super) fn follow_forwarded(&mut self, leader: &mut Leader, shared: &mut Shared) {
-        let jobs = &leader.jobs;
-        self.observed.retain(|index, _| jobs.get(index).is_some_and(LiveJob::is_away));
-        let away = jobs.iter().filter(|(_, job)| job.is_away()).map(|(index, _)| *index);
+        let away = leader.jobs.iter().filter(|(_, job)| job.is_away()).map(|(index, _)| *index);
         for index in away.collect::<Vec<u32>>() {
             let Some(forwarding) = shared.job(index).forwarding().cloned() else { continue };
             let step = self.next_step(leader, shared, index, &forwarding);
-            let record = match step {
+            let (forwarding, event) = match step {
                 OriginStep::Wait => continue,
                 OriginStep::Finish => {
                     // The scheduler writes the end of a job all of whose tasks are done.
@@ -282,16 +286,17 @@
                     }
                     continue;
                 }
-                OriginStep::Recall(_) => forwarding.recalled(),
-                OriginStep::Return { .. } => forwarding.returned(),
+                OriginStep::Recall(reason) => (forwarding.recalled(), reason.into()),
+                OriginStep::Return { is_confirmed: true } => {
+                    (forwarding.returned(), MoveEvent::Returned)
+                }
+                OriginStep::Return { is_confirmed: false } => {
+                    (forwarding.returned(), MoveEvent::Reclaimed)
+                }
             };
             let Some(spec) = shared.job(index).spec.clone() else { continue };
-            let record = JobRecord::forwarded((*spec).clone(), &awaited(shared, index), record);
-            if self.change_after.get(&index).is_none_or(|at| shared.now >= *at) {
-                let job = shared.jobs.id(index);
-                tracing::info!(job, cell = forwarding.cell, ?step, "forwarded job changes");
-            }
-            self.change_record(leader, shared, index, record);
+            let record = JobRecord::forwarded((*spec).clone(), &awaited(shared, index), forwarding);
+            self.change_record(leader, shared, index, record, event);
         }
     }
 
--- a/tests/support/cells.rs
+++ b/tests/support/cells.rs
@@ -11,6 +11,7 @@
 use woadlever_cells::message::CellMessage;
 
 const STEP_MS: u64 = 25;
+const LARGE_CHECK_GAP_MS: u64 = 1_000;
 /// How long a message between cells takes.
 const LATENCY_MS: u64 = 20;
 /// A late copy arrives up to so much later.
@@ -28,6 +29,10 @@
     /// Share of messages that are lost, and of which a late copy arrives.
     pub loss: f64,
     pub late_copies: f64,
+    /// The oracle looks at all tasks so often.
+    check_gap_ms: u64,
+    /// The longest message between cells, in bytes, where machines are many.
+    pub longest_message: usize,
     /// Messages sent between cells.
     pub messages: usize,
     queue: BTreeMap<(u64, u64), (usize, CellMessage)>,
@@ -58,8 +63,20 @@
     /// The same with further settings of all cells.
     pub fn with_settings(count: usize, seed: u64, extra: &str) -> Cells {
         let world = |index| World::cell(3, seed * 10 + index as u64, operator(index, count, extra));
+        Cells::of((0..count).map(world).collect(), seed)
+    }
+
+    /// Cells for thousands of machines, without any as yet.
+    pub fn large(count: usize, seed: u64) -> Cells {
+        let world = |index| World::large_cell(3, seed * 10 + index as u64, operator(index, count, ""));
+        Cells { check_gap_ms: LARGE_CHECK_GAP_MS, ..Cells::of((0..count).map(world).collect(), seed) }
+    }
+
+    fn of(worlds: Vec<World>, seed: u64) -> Cells {
         Cells {
-            worlds: (0..count).map(world).collect(),
+            worlds,
+            check_gap_ms: STEP_MS,
+            longest_message: 0,
             cut: HashSet::new(),
             held: HashMap::new(),
             recorded: None,
@@ -198,7 +215,9 @@
             }
             self.collect();
             self.deliver();
-            self.check();
+            if self.now().is_multiple_of(self.check_gap_ms) {
+                self.check();
+            }
         }
     }
 
@@ -219,6 +238,9 @@
             for (cell, message) in std::mem::take(&mut self.worlds[from].cell_messages) {
                 let to: usize = cell[1..].parse().unwrap();
                 self.messages += 1;
+                if self.check_gap_ms > STEP_MS {
+                    self.longest_message = self.longest_message.max(bitcode::encode(&message).len());
+                }
                 if let Some((way, recorded)) = &mut self.recorded
                     && *way == (from, to)
                 {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -159,6 +159,14 @@
         World::sized(nodes, seed, Size::Small, None, operator)
     }
 
+    /// The same for thousands of machines, with the rates of the settings enforced.
+    pub fn large_cell(nodes: usize, seed: u64, operator: Operator) -> World {
+        let mut w = World::sized(nodes, seed, Size::Fleet, None, operator);
+        w.state.rates = Some((200.0, 70.0));
+        w.capacity = 0;
+        w
+    }
+
     /// With limits announced that come later, by `fall`.
     pub fn announced(nodes: usize, seed: u64, next: Next) -> World {
         World::sized(nodes, seed, Size::Small, Some(next), Operator::default())
