--- a/crates/cells/src/event.rs
+++ b/crates/cells/src/event.rs
@@ -16,8 +16,10 @@
     Accepted,
     /// The host has left a tombstone.
     Withdrawn,
-    /// The origin takes the job back, as the host did not accept it.
+    /// The origin takes the job back, as the host has no room for it.
     RecalledRefused,
+    /// The same, as the host can never run it.
+    RecalledUnfit,
     /// The same, as the host cell is silent.
     RecalledSilent,
     /// The same, as the host has not begun it.
@@ -32,11 +34,12 @@
 
 impl MoveEvent {
     /// All of them.
-    pub const ALL: [MoveEvent; 9] = [
+    pub const ALL: [MoveEvent; 10] = [
         MoveEvent::Forwarded,
         MoveEvent::Accepted,
         MoveEvent::Withdrawn,
         MoveEvent::RecalledRefused,
+        MoveEvent::RecalledUnfit,
         MoveEvent::RecalledSilent,
         MoveEvent::RecalledIdle,
         MoveEvent::Returned,
@@ -51,6 +54,7 @@
             MoveEvent::Accepted => "accepted",
             MoveEvent::Withdrawn => "withdrawn",
             MoveEvent::RecalledRefused => "recalled_refused",
+            MoveEvent::RecalledUnfit => "recalled_unfit",
             MoveEvent::RecalledSilent => "recalled_silent",
             MoveEvent::RecalledIdle => "recalled_idle",
             MoveEvent::Returned => "returned",
@@ -69,6 +73,7 @@
     fn from(reason: RecallReason) -> MoveEvent {
         match reason {
             RecallReason::Refused => MoveEvent::RecalledRefused,
+            RecallReason::Unfit => MoveEvent::RecalledUnfit,
             RecallReason::Silent => MoveEvent::RecalledSilent,
             RecallReason::Idle => MoveEvent::RecalledIdle,
         }
--- a/crates/cells/src/host.rs
+++ b/crates/cells/src/host.rs
@@ -17,9 +17,11 @@
 /// What the host's own record of the job says, for the epoch in question.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HostRecord {
-    /// None that is known; a write under the condition that there is none will tell.
+    /// None that is known, or the tombstone of an earlier epoch; a write under the
+    /// condition that nothing newer is there will tell.
     Unknown,
-    /// There is one, of another job or of another epoch: this one can't be hosted.
+    /// There is one of another job, or an earlier epoch of this one is not over here: it
+    /// can't be hosted.
     Foreign,
     /// Accepted and not done.
     Live {
@@ -57,10 +59,10 @@
 pub enum HostStep {
     /// Nothing.
     None,
-    /// The job's record, under the condition that there is none.
+    /// The job's record, under the condition that there is none, or the same tombstone.
     Accept,
-    /// A tombstone, under the condition that there is no record: an offer that is still
-    /// on its way must not be accepted.
+    /// A tombstone, under the same condition: an offer that is still on its way must not be
+    /// accepted.
     Tombstone,
     /// The end of a live job, as a tombstone.
     Withdraw,
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -10,7 +10,7 @@
 //!   are gone within the origin's bound for a cancellation ([`lease`]). Taking a job back
 //!   from a silent host is therefore a cancellation there.
 //! - **A tombstone** at the host outlives a withdrawal, so that a late offer of the same
-//!   epoch is not accepted again ([`host`]).
+//!   or an earlier epoch is not accepted ([`host`]).
 //!
 //! Cells exchange whole states ([`message`]); a lost, repeated or late message is made
 //! good by the next one. [`origin`] and [`host`] decide the steps of the two sides,
--- a/crates/cells/src/origin.rs
+++ b/crates/cells/src/origin.rs
@@ -1,7 +1,7 @@
 //! The origin's side: what becomes of a job that was forwarded.
 
 use crate::Millis;
-use crate::message::HostedPhase;
+use crate::message::{FOR_GOOD, HostedPhase};
 use crate::record::ForwardPhase;
 
 /// Times after which the origin acts.
@@ -33,8 +33,10 @@
 /// Why a job is to be given back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RecallReason {
-    /// The host did not accept it.
+    /// The host has no room for it now.
     Refused,
+    /// The host can never run it.
+    Unfit,
     /// The host cell is silent.
     Silent,
     /// The host accepted it and has not started it.
@@ -69,6 +71,9 @@
             OriginStep::Return { is_confirmed: false }
         }
         (ForwardPhase::Recalled, _) => OriginStep::Wait,
+        (ForwardPhase::Active, Some(HostedPhase::Refused { retry_after_ms: FOR_GOOD })) => {
+            OriginStep::Recall(RecallReason::Unfit)
+        }
         (ForwardPhase::Active, Some(HostedPhase::Refused { .. })) => {
             OriginStep::Recall(RecallReason::Refused)
         }
--- a/crates/cells/src/record.rs
+++ b/crates/cells/src/record.rs
@@ -1,6 +1,7 @@
 //! What the records of a job and of a lease say about cells.
 
 use crate::Millis;
+use crate::origin::RecallReason;
 use serde::{Deserialize, Serialize};
 
 /// Where a job of this cell has been forwarded to. Part of the job's record in its
@@ -17,28 +18,40 @@
     /// How far the forwarding is.
     #[serde(rename = "p")]
     pub phase: ForwardPhase,
-    /// Cells that have hosted the job and gave it back. A tombstone is left there, so
-    /// that the job is never forwarded to them again.
+    /// The host had no room for the job.
+    #[serde(rename = "n", default, skip_serializing_if = "is_false")]
+    pub is_refused: bool,
+    /// Cells that can't run the job, accepted it and did not run it, or were silent. It is
+    /// not forwarded to them again.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tried: Vec<String>,
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde asks for a reference")]
+fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 impl Forwarding {
     /// The job is forwarded to `cell`, by a change of the record's version `epoch`.
     pub fn begin(cell: &str, epoch: u64, previous: Option<&Forwarding>) -> Forwarding {
         let tried = previous.map(|previous| previous.tried.clone()).unwrap_or_default();
-        Forwarding { cell: cell.to_string(), epoch, phase: ForwardPhase::Active, tried }
+        let (cell, phase) = (cell.to_string(), ForwardPhase::Active);
+        Forwarding { cell, epoch, phase, is_refused: false, tried }
     }
 
     /// The host cell must give the job back.
-    pub fn recalled(&self) -> Forwarding {
-        Forwarding { phase: ForwardPhase::Recalled, ..self.clone() }
+    pub fn recalled(&self, reason: RecallReason) -> Forwarding {
+        let is_refused = reason == RecallReason::Refused;
+        Forwarding { phase: ForwardPhase::Recalled, is_refused, ..self.clone() }
     }
 
     /// The job is at its origin cell again.
     pub fn returned(&self) -> Forwarding {
         let mut tried = self.tried.clone();
-        tried.push(self.cell.clone());
+        if !self.is_refused {
+            tried.push(self.cell.clone());
+        }
         Forwarding { phase: ForwardPhase::Returned, tried, ..self.clone() }
     }
 
--- a/crates/recovery-report/src/moves.rs
+++ b/crates/recovery-report/src/moves.rs
@@ -71,7 +71,12 @@
 
     /// Why it was recalled, if it was.
     pub fn recall(&self) -> Option<MoveEvent> {
-        let reasons = [MoveEvent::RecalledRefused, MoveEvent::RecalledSilent, MoveEvent::RecalledIdle];
+        let reasons = [
+            MoveEvent::RecalledRefused,
+            MoveEvent::RecalledUnfit,
+            MoveEvent::RecalledSilent,
+            MoveEvent::RecalledIdle,
+        ];
         reasons.into_iter().find(|reason| self.steps.contains_key(reason))
     }
 }
--- a/src/core/common/job_table.rs
+++ b/src/core/common/job_table.rs
@@ -95,6 +95,14 @@
         }
     }
 
+    /// Whether it was withdrawn here, and the record says that its cell has offered it
+    /// again since: the one final state that another can follow.
+    pub(crate) fn is_tombstone_before(&self, record: &JobRecord) -> bool {
+        let is_newer = |old: &Origin, new: &Origin| old.cell == new.cell && old.epoch < new.epoch;
+        self.state == JobState::Cancelled
+            && self.origin().zip(record.origin.as_ref()).is_some_and(|(old, new)| is_newer(old, new))
+    }
+
     /// Whether only another cell may run it.
     pub fn is_away(&self) -> bool {
         self.forwarding().is_some_and(Forwarding::is_away)
@@ -223,7 +231,7 @@
     pub(crate) fn drop_specs(&mut self, final_before: Ms) {
         for index in &self.final_jobs {
             let Some(entry) = self.entries.get_mut(index) else { continue };
-            if entry.job.state_since < final_before {
+            if entry.job.state_since < final_before && entry.job.state != JobState::Live {
                 entry.job.spec = None;
             }
         }
@@ -242,7 +250,12 @@
         let mut surplus = self.final_jobs.len().saturating_sub(MAX_FINAL_JOBS);
         let mut kept = VecDeque::with_capacity(self.final_jobs.len());
         for index in std::mem::take(&mut self.final_jobs) {
-            let needed = in_use.contains(&index) || self.get(index).version > watched_revision;
+            let job = self.get(index);
+            // Another cell has offered it again, so that it is no longer final.
+            if job.state == JobState::Live {
+                continue;
+            }
+            let needed = in_use.contains(&index) || job.version > watched_revision;
             if surplus == 0 || needed {
                 kept.push_back(index);
                 continue;
--- a/src/core/common/shared.rs
+++ b/src/core/common/shared.rs
@@ -611,7 +611,9 @@
         let ix = self.job_slot(id);
         let now = self.now;
         let Some(job) = self.jobs.get_mut(ix) else { return };
-        let first = !job.is_read();
+        let is_offered_again = job.is_tombstone_before(&rec);
+        let first = !job.is_read() || is_offered_again;
+        job.cancellation_noticed &= !is_offered_again;
         if version <= job.version || !first && job.state != JobState::Live {
             return;
         }
--- a/src/core/leader/cells/host.rs
+++ b/src/core/leader/cells/host.rs
@@ -200,8 +200,10 @@
         };
         let key = job_key(&job.id);
         let value = Encoded::new(&record);
+        // The tombstone of an earlier epoch is replaced.
+        let version = shared.job_ix(&job.id).map_or(0, |index| shared.job(index).version);
         let txn = Txn {
-            conds: vec![leader.leader_cond(), Cond { key: key.clone(), version: 0 }],
+            conds: vec![leader.leader_cond(), Cond { key: key.clone(), version }],
             changes: vec![Change::Put { key, value, lease: None }],
         };
         self.creations.insert(job.id.clone(), Creation { in_flight: true, retry_at: 0 });
@@ -355,8 +357,14 @@
 ) -> HostRecord {
     let Some(index) = shared.job_ix(&job.id) else { return HostRecord::Unknown };
     let known = shared.job(index);
-    let is_it = |origin: &Origin| origin.cell == cell && origin.epoch == job.epoch;
-    if !known.origin().is_some_and(is_it) {
+    let Some(origin) = known.origin().filter(|origin| origin.cell == cell) else {
+        return HostRecord::Foreign;
+    };
+    let is_over = known.state == JobState::Cancelled && !leader.attempts.has_job(index);
+    if origin.epoch < job.epoch && is_over {
+        return HostRecord::Unknown;
+    }
+    if origin.epoch != job.epoch {
         return HostRecord::Foreign;
     }
     match known.state {
--- a/src/core/leader/cells/origin.rs
+++ b/src/core/leader/cells/origin.rs
@@ -286,7 +286,7 @@
                     }
                     continue;
                 }
-                OriginStep::Recall(reason) => (forwarding.recalled(), reason.into()),
+                OriginStep::Recall(reason) => (forwarding.recalled(reason), reason.into()),
                 OriginStep::Return { is_confirmed: true } => {
                     (forwarding.returned(), MoveEvent::Returned)
                 }
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -429,9 +429,12 @@
         cells.repeat(HOST, offer.clone());
         cells.run(1_000);
     }
+    assert_eq!(cells.record(HOST, JOB).unwrap()["s"], "c", "the copy is of a former epoch");
+    assert_eq!(cells.starts(HOST, JOB), 0);
+    // Offered anew, it may well be taken.
     cells.join();
     assert!(cells.until_done(ORIGIN, JOB, 240_000));
-    assert_eq!(cells.starts(HOST, JOB), 0);
+    assert_each_task_started_once(&cells, JOB, 4);
     cells.fair();
 }
 
@@ -461,6 +464,24 @@
     cells.fair();
 }
 
+#[test]
+fn a_job_that_was_refused_is_taken_by_the_same_cell_once_it_has_room() {
+    let mut cells = full_origin(2, 290);
+    for world in &mut cells.worlds {
+        world.run_ms = 20_000;
+    }
+    // The team is at its limit in the host cell for some tens of seconds.
+    cells.accept(HOST, &job(8, "t1", 16, 20.0));
+    assert!(cells.until(60_000, |cells| cells.running(HOST, "run-000008") == 16));
+    cells.accept(ORIGIN, &job(1, "t1", 4, 20.0));
+    let is_back = |cells: &Cells| cells.record(ORIGIN, JOB).is_some_and(|r| r["f"]["p"] == "b");
+    assert!(cells.until(60_000, is_back), "refused and recalled");
+    assert!(cells.until_done(ORIGIN, JOB, 180_000), "{:?}", cells.record(ORIGIN, JOB));
+    assert_eq!(cells.starts(HOST, JOB), 4);
+    assert_each_task_started_once(&cells, JOB, 4);
+    cells.fair();
+}
+
 #[test]
 fn a_late_message_from_before_the_offer_does_not_take_a_running_job_away() {
     let mut cells = full_origin(2, 250);
--- a/tests/final_jobs.rs
+++ b/tests/final_jobs.rs
@@ -14,6 +14,7 @@
 use woadlever::core::common::shared::{RecordSource, Shared};
 use woadlever::wire::state::{JobRecord, JobState};
 use woadlever::wire::workers::{ReportTask, TaskState};
+use woadlever_cells::record::Origin;
 
 /// Jobs that an operator's day leaves on record, and a hundred thousand besides.
 const RECORDED_JOBS: u32 = 26 * 60 * 24 + 100_000;
@@ -389,3 +390,31 @@
     assert!(shared.put_job(&id(2), JobRecord::done(2, 1), 20, RecordSource::Single));
     assert_ne!(shared.job_ix(&id(2)), Some(other));
 }
+
+/// The tombstone of another cell's job is the one final state that another can follow, and
+/// only if its cell offers it anew.
+#[test]
+fn a_job_that_another_cell_offers_again_is_live_and_stays_in_memory() {
+    let mut shared = shared();
+    shared.watched_revision = Some(100);
+    let origin = |epoch| Origin { cell: "a".into(), epoch, done: String::new() };
+    let (spec, _) = live_record().into_parts();
+    let hosted = |epoch| JobRecord::hosted(spec.clone().unwrap(), origin(epoch));
+    assert!(shared.put_job(&id(1), JobRecord::tombstone(0, origin(5)), 20, RecordSource::Single));
+    let index = shared.job_ix(&id(1)).unwrap();
+    assert!(shared.put_job(&id(1), hosted(5), 30, RecordSource::Watch));
+    assert_eq!(shared.job(index).state, JobState::Cancelled, "the same offer, late");
+    assert!(shared.put_job(&id(1), hosted(7), 40, RecordSource::Watch));
+    let job = shared.job(index);
+    assert_eq!((job.state, job.tasks, job.origin()), (JobState::Live, 2, Some(&origin(7))));
+    end_jobs(&mut shared, 1_000, MAX_FINAL_JOBS + FINAL_JOBS_BATCH, 50);
+    shared.drop_final_jobs(|_| {});
+    shared.now += 1_000_000;
+    shared.forget_specs();
+    assert_eq!(shared.job_ix(&id(1)), Some(index));
+    assert!(shared.job(index).spec.is_some());
+    assert!(shared.put_job(&id(2), JobRecord::cancelled(2), 60, RecordSource::Watch));
+    assert!(shared.put_job(&id(2), live_record(), 70, RecordSource::Watch));
+    let own = shared.job_ix(&id(2)).unwrap();
+    assert_eq!(shared.job(own).state, JobState::Cancelled, "a job of this cell stays cancelled");
+}
