--- a/src/core/leader/cells/mod.rs
+++ b/src/core/leader/cells/mod.rs
@@ -26,10 +26,10 @@
 
 /// Pause between two looks at what is to be done.
 const STEP_GAP_MS: Ms = 250;
-/// Pause between two messages to the other cells.
-const SEND_GAP_MS: Ms = 500;
 /// The same where load is not shared: jobs may be left that were forwarded before.
 const IDLE_STEP_GAP_MS: Ms = 2_000;
+/// Pause between two messages to the other cells.
+const SEND_GAP_MS: Ms = 500;
 /// Share of the state service's changes that moving jobs between cells may take.
 const WRITE_SHARE: f64 = 0.2;
 const RETRY_MS: Ms = 500;
@@ -69,7 +69,9 @@
     /// When the record of a job may be changed again; at the end of time while a change
     /// is on its way.
     change_after: FxHashMap<u32, Ms>,
+    /// First records of other cells' jobs that are not settled.
     creations: HashMap<String, Creation>,
+    /// When the lease of a cell may be written again.
     lease_after: HashMap<String, Ms>,
     /// What each cell is told of its jobs.
     hosted: HashMap<String, Vec<HostedJob>>,
