Report: both timelines are drawn by one function

Need: the timeline of moves repeated that of recoveries. Change: named rows with bars of several kinds, and a legend, for both.

--- a/crates/recovery-report/src/page.rs
+++ b/crates/recovery-report/src/page.rs
@@ -59,7 +59,6 @@
                 h1 { "Recovery report" }
                 (summary(history))
                 h2 { "Phases of blocks" }
-                p { "Grey: records are being read. Orange: machines are being squared." }
                 (timeline)
                 h2 { "Attempts by verdict" }
                 (verdicts)
@@ -143,35 +142,17 @@
 
 fn draw_moves(history: &History, area: &DrawingArea<SVGBackend, plotters::coord::Shift>) -> Drawn {
     let shown = shown_moves(history);
-    let end_s = (history.end_ms as f64 / 1_000.0).max(0.1);
-    let name = |row: &i32| shown.get(*row as usize).map_or(String::new(), |m| m.job.clone());
-    let mut chart = ChartBuilder::on(area)
-        .margin(10)
-        .x_label_area_size(30)
-        .y_label_area_size(120)
-        .build_cartesian_2d(0.0..end_s, 0..shown.len() as i32)?;
-    chart
-        .configure_mesh()
-        .disable_y_mesh()
-        .y_labels(shown.len())
-        .y_label_formatter(&name)
-        .x_desc("seconds")
-        .draw()?;
-    let second = |ms: i64| ms as f64 / 1_000.0;
-    for (outcome, color) in Outcome::ALL.into_iter().zip(OUTCOME_COLORS) {
+    let names: Vec<&str> = shown.iter().map(|m| m.job.as_str()).collect();
+    let bars_of = |outcome: Outcome| -> Vec<Bar> {
         let rows = shown.iter().enumerate().filter(|(_, m)| m.outcome().0 == outcome);
-        let bars = rows.map(|(row, m)| {
-            let end = m.outcome().1.unwrap_or(history.end_ms);
-            let corners = [(second(m.began_ms()), row as i32), (second(end), row as i32 + 1)];
-            Rectangle::new(corners, color.filled())
-        });
-        chart
-            .draw_series(bars)?
-            .label(outcome.name())
-            .legend(move |(x, y)| Circle::new((x + 8, y), 4, color.filled()));
-    }
-    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
-    Ok(())
+        rows.map(|(row, m)| (row, m.began_ms(), m.outcome().1.unwrap_or(history.end_ms))).collect()
+    };
+    let series: Vec<Series> = Outcome::ALL
+        .into_iter()
+        .zip(OUTCOME_COLORS)
+        .map(|(outcome, color)| Series { label: outcome.name(), color, bars: bars_of(outcome) })
+        .collect();
+    draw_rows(area, history.end_ms, &names, &series)
 }
 
 fn took_ms(recovery: &Recovery) -> Option<i64> {
@@ -222,32 +203,62 @@
 
 fn draw_timeline(history: &History, area: &DrawingArea<SVGBackend, plotters::coord::Shift>) -> Drawn {
     let shown = &history.recoveries[..rows(history)];
-    let end_s = (history.end_ms as f64 / 1_000.0).max(0.1);
-    let name = |row: &i32| shown.get(*row as usize).map_or(String::new(), |r| r.block.clone());
+    let names: Vec<&str> = shown.iter().map(|recovery| recovery.block.as_str()).collect();
+    let read_ms = |recovery: &Recovery| recovery.read_ms.unwrap_or(history.end_ms);
+    let squared_ms =
+        |recovery: &Recovery| recovery.squared_ms.unwrap_or(history.end_ms).max(read_ms(recovery));
+    let reading = shown.iter().enumerate().map(|(row, r)| (row, r.granted_ms, read_ms(r))).collect();
+    let squaring = shown.iter().enumerate().map(|(row, r)| (row, read_ms(r), squared_ms(r))).collect();
+    let series = [
+        Series { label: "records are being read", color: READING, bars: reading },
+        Series { label: "machines are being squared", color: SQUARING, bars: squaring },
+    ];
+    draw_rows(area, history.end_ms, &names, &series)
+}
+
+/// A bar of a timeline: its row, and from when to when it lasts, in milliseconds.
+type Bar = (usize, i64, i64);
+
+/// Bars of one kind.
+struct Series<'a> {
+    label: &'a str,
+    color: RGBColor,
+    bars: Vec<Bar>,
+}
+
+/// Draws a timeline with a named row for each thing.
+fn draw_rows(
+    area: &DrawingArea<SVGBackend, plotters::coord::Shift>,
+    end_ms: i64,
+    names: &[&str],
+    series: &[Series],
+) -> Drawn {
+    let second = |ms: i64| ms as f64 / 1_000.0;
+    let name = |row: &i32| names.get(*row as usize).map_or(String::new(), |name| (*name).to_string());
     let mut chart = ChartBuilder::on(area)
         .margin(10)
         .x_label_area_size(30)
         .y_label_area_size(120)
-        .build_cartesian_2d(0.0..end_s, 0..shown.len() as i32)?;
+        .build_cartesian_2d(0.0..second(end_ms).max(0.1), 0..names.len() as i32)?;
     chart
         .configure_mesh()
         .disable_y_mesh()
-        .y_labels(shown.len())
+        .y_labels(names.len())
         .y_label_formatter(&name)
         .x_desc("seconds")
         .draw()?;
-    for (row, recovery) in shown.iter().enumerate() {
-        let second = |ms: i64| ms as f64 / 1_000.0;
-        let read = recovery.read_ms.unwrap_or(history.end_ms);
-        let squared = recovery.squared_ms.unwrap_or(history.end_ms);
-        let bar = |from: i64, to: i64, color: RGBColor| {
-            Rectangle::new([(second(from), row as i32), (second(to), row as i32 + 1)], color.filled())
-        };
-        chart.draw_series([
-            bar(recovery.granted_ms, read, READING),
-            bar(read, squared.max(read), SQUARING),
-        ])?;
+    for kind in series {
+        let color = kind.color;
+        let bars = kind.bars.iter().map(|(row, from, to)| {
+            let corners = [(second(*from), *row as i32), (second(*to), *row as i32 + 1)];
+            Rectangle::new(corners, color.filled())
+        });
+        chart
+            .draw_series(bars)?
+            .label(kind.label)
+            .legend(move |(x, y)| Circle::new((x + 8, y), 4, color.filled()));
     }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
     Ok(())
 }
 
