--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -149,6 +149,12 @@
             let leader = cells.worlds[cell].leader().unwrap_or(0);
             cells.worlds[cell].crash(leader, 500 + step * 300);
         }
+        let is_over_or_recalled = |cells: &Cells| {
+            let record = cells.record(ORIGIN, JOB).unwrap();
+            record["s"] == "d" || record["f"]["p"] == "r" || record["f"]["p"] == "b"
+        };
+        assert!(cells.until(240_000, is_over_or_recalled), "step {step}");
+        assert_eq!(cells.record(ORIGIN, JOB).unwrap()["s"], "d", "step {step}: not taken back");
         assert!(cells.until_done(ORIGIN, JOB, 240_000), "step {step}: {:?}", cells.record(ORIGIN, JOB));
         assert_each_task_started_once(&cells, JOB, 4);
         cells.fair();
--- a/tests/final_jobs.rs
+++ b/tests/final_jobs.rs
@@ -413,7 +413,12 @@
     shared.forget_specs();
     assert_eq!(shared.job_ix(&id(1)), Some(index));
     assert!(shared.job(index).spec.is_some());
-    assert!(shared.put_job(&id(2), JobRecord::cancelled(2), 60, RecordSource::Watch));
+    let done = JobRecord::done(2, 1).with_origin(Some(origin(5)));
+    assert!(shared.put_job(&id(3), done, 60, RecordSource::Single));
+    assert!(shared.put_job(&id(3), hosted(7), 70, RecordSource::Watch));
+    let ended = shared.job_ix(&id(3)).unwrap();
+    assert_eq!(shared.job(ended).state, JobState::Done, "what is done stays done");
+    assert!(shared.put_job(&id(2), JobRecord::cancelled(2), 60, RecordSource::Single));
     assert!(shared.put_job(&id(2), live_record(), 70, RecordSource::Watch));
     let own = shared.job_ix(&id(2)).unwrap();
     assert_eq!(shared.job(own).state, JobState::Cancelled, "a job of this cell stays cancelled");
