Test, failing: a team over its limit after a takeover; the oracle counts every start

Cause: quotas were checked for two teams only, in large worlds at every 200th start, and no test refused a leader for about its lease with work bound and unrecorded. Change: the oracle takes every team's limit from the settings and checks it at each start; the fake store notes attempts that are recorded for the first time under another term than the one that admitted them. The test plays the takeover with four lengths of the refusal.

--- a/tests/combined_faults/main.rs
+++ b/tests/combined_faults/main.rs
@@ -15,4 +15,5 @@
 mod load;
 mod machines;
 mod processes;
+mod quotas;
 mod store_writes;
--- /dev/null
+++ b/tests/combined_faults/quotas.rs
@@ -0,0 +1,113 @@
+//! Teams at their limits while the leader changes.
+
+use crate::fixtures::id;
+use crate::support::{World, ZONES, job};
+use serde_json::{Value, json};
+
+/// Tasks that the limit of `t0` allows at once.
+const TEAM_TASKS: u32 = 8;
+/// As many as let a shard owner hear something new several times a second, and report it.
+const MACHINES_PER_ZONE: usize = 12;
+/// The store refuses a leader for less than that before another leads.
+const LONGEST_TAKEOVER_MS: u64 = 6_000;
+/// How long the new leader leads before the store serves the old one again.
+const REFUSED_BEYOND_TAKEOVER_MS: [u64; 4] = [300, 500, 700, 900];
+
+/// Two nodes with a zone each, of which the store is going to refuse the leader.
+struct Takeover {
+    world: World,
+    old_leader: usize,
+    new_leader: usize,
+}
+
+impl Takeover {
+    /// Both zones have machines for all that `t0` may use.
+    fn new(seed: u64) -> Takeover {
+        let mut world = World::new(2, seed);
+        world.cloud.capacity = 0;
+        world.run(3_000);
+        let old_leader = world.leader().expect("a leader");
+        let new_leader = 1 - old_leader;
+        for number in 0..2 * MACHINES_PER_ZONE {
+            world.add_worker(number, ZONES[number % 2], false, 500);
+        }
+        world.run(9_000);
+        Takeover { world, old_leader, new_leader }
+    }
+
+    /// A job of `t0` in the zone of a node, with all the tasks that its team may run.
+    fn whole_team_job(number: u32, node: usize) -> Value {
+        let mut submission = job(number, "t0", TEAM_TASKS, 10.0);
+        submission["yard"] = json!(ZONES[node]);
+        submission
+    }
+
+    /// The team is at its limit with tasks of the other node, which end in a few seconds.
+    fn fill_team(&mut self) {
+        let submission = Takeover::whole_team_job(1, self.new_leader);
+        self.world.run_ms = 6_000;
+        self.world.accept(self.new_leader, &submission);
+        self.world.run(1_500);
+        assert_eq!(starts_of(&self.world, 1), TEAM_TASKS as usize);
+        self.world.run_ms = 60_000;
+    }
+
+    /// The store refuses the leader until another leads.
+    fn refuse_leader(&mut self) {
+        let world = &mut self.world;
+        world.store.refuses.insert(self.old_leader);
+        let end = world.now + LONGEST_TAKEOVER_MS;
+        while world.leader() != Some(self.new_leader) && world.now < end {
+            world.run(25);
+        }
+        assert_eq!(world.leader(), Some(self.new_leader));
+    }
+
+    /// The store refuses the old leader for so much longer.
+    fn serve_again_after(&mut self, beyond_ms: u64) {
+        self.world.run(beyond_ms);
+        self.world.store.refuses.clear();
+        self.world.run(10_000);
+    }
+}
+
+fn starts_of(world: &World, number: u32) -> usize {
+    let prefix = format!("{}/", id(number));
+    world.oracle.starts.keys().filter(|task| task.starts_with(&prefix)).count()
+}
+
+/// A team had 370 CPUs on machines at second 146.8, and its limit is 369. The store had refused
+/// the leader of term 1809 alone from second 140 to 144; meanwhile its lease ended, another node
+/// led, read the placement records and admitted work up to the limit. The old leader still owned
+/// its shard, and what it had admitted there while it was refused was bound, but not recorded.
+/// When the store served it again, it reported these attempts before a desired state of the new
+/// leader reached it. The new leader adopted them without asking for the quota, and the shard
+/// owner recorded and started them under the new term.
+///
+/// What settled it is the start of `run-907508/2@1896874173`, which is admission 189 of term
+/// 1809 (1896874173 = 1809 * 2^20 + 189): its machine's heartbeat was answered at 143.74 without
+/// it, so that it was not on record then, and it was started at 146.78 under fencing token 1811,
+/// which the former leader held since 132.34. The logs end before that; that another node led is
+/// inferred from `lease 10`, renewed at 139.56 for the last time and ended 5 s later. A day with
+/// the same faults, on which a team had 370 CPUs as well, shows the whole order: `leader has read
+/// the records term=430 attempts=864` at 54.573, `lost leadership term=1` at 55.098, and from
+/// 55.356 on 79 times `start command sent` for an attempt of term 1 that was recorded at 55.34,
+/// up to `record_ms=4210` after it was bound.
+#[test]
+fn what_a_former_leader_admitted_and_did_not_record_keeps_to_the_quota() {
+    for beyond_ms in REFUSED_BEYOND_TAKEOVER_MS {
+        let mut takeover = Takeover::new(650);
+        takeover.fill_team();
+        let Takeover { old_leader, new_leader, .. } = takeover;
+        for (number, node) in [(2, old_leader), (3, new_leader)] {
+            let submission = Takeover::whole_team_job(number, node);
+            takeover.world.accept(new_leader, &submission);
+        }
+
+        takeover.refuse_leader();
+        takeover.serve_again_after(beyond_ms);
+
+        assert_eq!(starts_of(&takeover.world, 3), TEAM_TASKS as usize, "the new leader's admissions");
+        takeover.world.assert_rules_kept();
+    }
+}
--- a/tests/support/controllers.rs
+++ b/tests/support/controllers.rs
@@ -3,6 +3,7 @@
 use super::settings::sized_platform;
 use super::{World, ZONES};
 use std::sync::Arc;
+use woadlever::config::Platform;
 use woadlever::core::{Core, Input};
 use woadlever::wire::peer::Frame;
 
@@ -45,11 +46,16 @@
         self.controllers[node].process.as_ref().map(|process| &process.core)
     }
 
+    /// The platform settings of a node.
+    pub(super) fn platform_of(&self, node: usize) -> Platform {
+        sized_platform(self.size, node, self.node_count, self.announced_limits)
+    }
+
     /// Starts a process on a node.
     pub fn boot(&mut self, node: usize) {
         self.last_incarnation += 1;
         let incarnation = self.last_incarnation;
-        let mut platform = sized_platform(self.size, node, self.node_count, self.announced_limits);
+        let mut platform = self.platform_of(node);
         platform.cluster.teams.retain(|team| Some(team.name.as_str()) != self.without_team);
         let core = Core::new(Arc::new(platform), self.operator.clone(), incarnation, incarnation * 7, 1);
         self.controllers[node].process = Some(Process { core, incarnation, started_at: self.now });
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod network;
 mod oracle;
 mod production;
+mod recorded_attempts;
 mod recorder;
 mod settings;
 pub mod store;
@@ -182,6 +183,7 @@
             sequence: 0,
             recorder: Recorder::from_env(),
         };
+        world.read_team_limits();
         for node in 0..nodes {
             world.boot(node);
         }
--- a/tests/support/oracle.rs
+++ b/tests/support/oracle.rs
@@ -1,14 +1,39 @@
 //! The rules of the protocol, checked at each start of a task, each step of time
 //! and each answer to a user.
 
+use super::recorded_attempts::attempts_of;
 use super::{Answer, CANCEL_MS, WorkerTask, World, settings::Size};
 use serde_json::Value;
 use std::collections::{HashMap, HashSet};
 use woadlever::wire::workers::TaskState;
 
+/// Sums of decimal amounts may be off by this much.
+const QUOTA_SLACK: f64 = 1e-6;
 /// No more tasks of a job are checked for having been started.
 pub(super) const CHECKED_TASKS: u64 = 200;
 
+/// What a team may use, and what its tasks use.
+#[derive(Default)]
+struct TeamUse {
+    max_cpus: f64,
+    max_gpus: f64,
+    /// Upper bounds: starts are added at once, ends are found by counting anew.
+    cpus: f64,
+    gpus: f64,
+}
+
+impl TeamUse {
+    fn is_over_limit(&self) -> bool {
+        self.cpus > self.max_cpus + QUOTA_SLACK || self.gpus > self.max_gpus + QUOTA_SLACK
+    }
+
+    /// Adds a task of the job.
+    fn add(&mut self, spec: &Value) {
+        self.cpus += spec["cores"].as_f64().unwrap_or(0.0);
+        self.gpus += spec["cards"].as_f64().unwrap_or(0.0);
+    }
+}
+
 /// What has been started, and the rules that were broken.
 #[derive(Default)]
 pub struct Oracle {
@@ -16,7 +41,11 @@
     pub starts: HashMap<String, u32>,
     /// Rules that were broken, with the time and what broke them.
     pub broken: Vec<String>,
+    /// Starts that were checked against the quota of their team.
+    pub checked_starts: u64,
     called_done: HashSet<String>,
+    /// By name of the team.
+    teams: HashMap<String, TeamUse>,
     /// Tasks that started after their job's cancellation was confirmed: how long
     /// after.
     pub late_starts: Vec<(String, u64)>,
@@ -106,10 +135,55 @@
         if spec["standby"] == false && started_on.spot || is_wrong_zone {
             self.oracle.broken.push(format!("{} wrong_place {job}/{task}", self.now));
         }
+        self.check_quota(&spec, job, task);
         // A look at all tasks of all machines for each start would take longer
-        // than the service itself; no team's quota is near here.
+        // than the service itself.
         if self.size != Size::Fleet || self.oracle.starts.len().is_multiple_of(200) {
-            self.check_zones_and_quotas(&spec, job, task);
+            self.check_zones(&spec, job, task);
+        }
+    }
+
+    /// Takes the teams' limits from the settings of the nodes.
+    pub(super) fn read_team_limits(&mut self) {
+        for team in self.platform_of(0).cluster.teams {
+            let (max_cpus, max_gpus) = (team.cpus_max, team.gpus_max);
+            self.oracle.teams.insert(team.name, TeamUse { max_cpus, max_gpus, ..TeamUse::default() });
+        }
+    }
+
+    /// Checks what the team uses with the task that starts. Use grows by starts alone, so that
+    /// nothing is missed between two of them.
+    fn check_quota(&mut self, spec: &Value, job: &str, task: u32) {
+        self.oracle.checked_starts += 1;
+        let name = spec["crew"].as_str().unwrap_or_default();
+        let Some(team) = self.oracle.teams.get_mut(name) else { return };
+        team.add(spec);
+        if !team.is_over_limit() {
+            return;
+        }
+        self.count_team_use(name);
+        let team = &self.oracle.teams[name];
+        if team.is_over_limit() {
+            let broken = format!(
+                "{} quota {name}: {} of {} CPUs with {job}/{task}",
+                self.now, team.cpus, team.max_cpus
+            );
+            self.oracle.broken.push(broken);
+        }
+    }
+
+    /// Counts what a team's tasks use: each from when it has its image until it has ended or
+    /// its machine has, also on machines that hang or are cut off.
+    fn count_team_use(&mut self, name: &str) {
+        let Some(team) = self.oracle.teams.get_mut(name) else { return };
+        (team.cpus, team.gpus) = (0.0, 0.0);
+        for worker in self.workers.iter().filter(|worker| worker.alive) {
+            for running in worker.tasks.iter().filter(|running| running.runs()) {
+                let spec = self.users.jobs.get(&running.job);
+                if let Some(spec) = spec.filter(|spec| spec["crew"] == name) {
+                    team.add(spec);
+                }
+            }
         }
     }
 
@@ -140,19 +214,14 @@
         }
     }
 
-    /// Checks the zones of a job's tasks, and what teams use against their quotas.
-    fn check_zones_and_quotas(&mut self, spec: &Value, job: &str, task: u32) {
+    /// Checks the zones of a job's tasks.
+    fn check_zones(&mut self, spec: &Value, job: &str, task: u32) {
         let mut zones: HashMap<&str, u64> = HashMap::new();
-        let mut used: HashMap<&str, f64> = HashMap::new();
         for worker in self.workers.iter().filter(|worker| worker.alive) {
-            for running in worker.tasks.iter().filter(|running| running.runs()) {
-                if running.job == job {
-                    *zones.entry(&worker.zone).or_default() += 1;
-                }
-                if let Some(spec) = self.users.jobs.get(&running.job) {
-                    *used.entry(spec["crew"].as_str().unwrap()).or_default() +=
-                        spec["cores"].as_f64().unwrap();
-                }
+            let of_job = worker.tasks.iter().filter(|running| running.runs() && running.job == job);
+            let count = of_job.count() as u64;
+            if count > 0 {
+                *zones.entry(&worker.zone).or_default() += count;
             }
         }
         let (one_zone, spread) = (spec["one_zone"] == true, spec["scatter"] == true);
@@ -160,22 +229,15 @@
         if one_zone && zones.len() > 1 || spread && zones.values().any(|count| *count > most) {
             self.oracle.broken.push(format!("{} wrong_place (zones) {job}/{task}", self.now));
         }
-        let quota = match self.size {
-            Size::Small => 64.0,
-            Size::Large => 4_000.0,
-            Size::Fleet => 100_000.0,
-        };
-        for (team, quota) in [("t0", 32.0), ("t1", quota)] {
-            if used.get(team).is_some_and(|used| *used > quota) {
-                self.oracle.broken.push(format!("{} quota {team}", self.now));
-            }
-        }
     }
 
     /// Checks the rules that hold at any time.
     pub(super) fn check(&mut self) {
         self.check_cancelled_jobs_are_gone();
         self.check_done_jobs_were_started();
+        let unadmitted = self.store.recorded_attempts.take_unadmitted();
+        let broken = unadmitted.into_iter().map(|found| format!("{} {found}", self.now));
+        self.oracle.broken.extend(broken);
     }
 
     fn check_cancelled_jobs_are_gone(&mut self) {
@@ -236,16 +298,7 @@
 
     /// Machines and attempts on placement records.
     fn recorded_attempts(&self) -> HashSet<(String, u64)> {
-        let mut recorded = HashSet::new();
-        for (_, record) in self.store.records_under("place/") {
-            let base = record.value["b"].as_u64().unwrap();
-            for row in record.value["m"].as_array().unwrap() {
-                let machine = row[0].as_str().unwrap();
-                let attempts = row[3].as_array().unwrap().chunks(3);
-                let numbers = attempts.map(|attempt| base + attempt[2].as_u64().unwrap());
-                recorded.extend(numbers.map(|number| (machine.to_string(), number)));
-            }
-        }
-        recorded
+        let records = self.store.records_under("place/");
+        records.flat_map(|(_, record)| attempts_of(&record.value)).collect()
     }
 }
--- a/tests/support/production.rs
+++ b/tests/support/production.rs
@@ -49,7 +49,11 @@
                 self.store.last_lease = id;
             }
             let record = StoredRecord { value: value.clone(), version: number(version), lease };
-            self.store.records.insert(key.as_str().unwrap().into(), record);
+            let key = key.as_str().unwrap();
+            if key.starts_with("place/") {
+                self.store.recorded_attempts.note_existing(&record.value);
+            }
+            self.store.records.insert(key.into(), record);
         }
     }
 
--- /dev/null
+++ b/tests/support/recorded_attempts.rs
@@ -0,0 +1,65 @@
+//! Which attempts have been recorded, and under which leader.
+//!
+//! A leader counts what it admits and what is on record when its term begins. So an attempt
+//! may be recorded for the first time only while the leader that admitted it leads.
+
+use serde_json::Value;
+use std::collections::HashSet;
+use woadlever::wire::store::{CompareAndSwap, Mutation};
+
+/// The number of an attempt has its leader's term above these bits.
+const ATTEMPT_BITS_PER_TERM: u32 = 20;
+/// Numbers of a row for each attempt: the job's row, the task, the attempt.
+const NUMBERS_PER_ATTEMPT: usize = 3;
+
+/// All attempts that have ever been on a placement record.
+#[derive(Default)]
+pub struct RecordedAttempts {
+    known: HashSet<u64>,
+    unadmitted: Vec<String>,
+}
+
+impl RecordedAttempts {
+    /// Takes in a record that some other process has written.
+    pub(super) fn note_existing(&mut self, record: &Value) {
+        self.known.extend(attempts_of(record).into_iter().map(|(_, attempt)| attempt));
+    }
+
+    /// Takes in a write that is carried out.
+    pub(super) fn note_write(&mut self, write: &CompareAndSwap) {
+        let leader = write.compares.iter().find(|compare| compare.key == "w/leader");
+        for mutation in &write.mutations {
+            let Mutation::Put { key, value, .. } = mutation else { continue };
+            if !key.starts_with("place/") {
+                continue;
+            }
+            let record: Value = value.decode().expect("a placement record");
+            for (_, attempt) in attempts_of(&record) {
+                let is_new = self.known.insert(attempt);
+                let term = attempt >> ATTEMPT_BITS_PER_TERM;
+                if is_new && let Some(leader) = leader.filter(|leader| leader.version != term) {
+                    let found = format!("attempt of term {term} recorded under term {}", leader.version);
+                    self.unadmitted.push(found);
+                }
+            }
+        }
+    }
+
+    /// What was recorded that the present leader had not admitted, since the last call.
+    pub(super) fn take_unadmitted(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.unadmitted)
+    }
+}
+
+/// Machines and attempts that a placement record lists.
+pub(super) fn attempts_of(record: &Value) -> Vec<(String, u64)> {
+    let mut listed = Vec::new();
+    let base = record["b"].as_u64().expect("the smallest attempt");
+    for row in record["m"].as_array().expect("rows of machines") {
+        let machine = row[0].as_str().expect("a machine");
+        let attempts = row[3].as_array().expect("attempts").chunks(NUMBERS_PER_ATTEMPT);
+        let numbers = attempts.map(|attempt| base + attempt[2].as_u64().expect("an attempt"));
+        listed.extend(numbers.map(|number| (machine.to_string(), number)));
+    }
+    listed
+}
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -2,6 +2,7 @@
 //! the limits that the store puts on calls.
 
 use super::events::Call;
+use super::recorded_attempts::RecordedAttempts;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::ops::Bound;
@@ -111,6 +112,8 @@
     pub lowered_limits: Option<LoweredLimits>,
     /// Keys of values rejected for their length since then.
     pub rejected: Vec<String>,
+    /// Attempts on placement records, also former ones.
+    pub(super) recorded_attempts: RecordedAttempts,
     /// Items on a page; none: the usual number.
     pub page_size: Option<usize>,
 }
@@ -226,6 +229,7 @@
             return StoreResponse::Malformed;
         }
         self.check_limits(write);
+        self.recorded_attempts.note_write(write);
         self.revision += 1;
         self.writes += write.mutations.len() as u64;
         for mutation in &write.mutations {
