Quotas: the leader compares its count with reports and limits, and says why

Cause: the logs of the incident could not tell who led under which term on which read, why an attempt was counted or not, and why a start was allowed. A start names its fencing token, the heartbeat answered, the present term and the record's revision. The tests fail on such an alarm. Two earlier forms of the alarm were wrong: records of a former leader's time and tasks that a former owner reported done are not confirmed use.

--- a/src/core/common/control_lease.rs
+++ b/src/core/common/control_lease.rs
@@ -31,6 +31,11 @@
         self.renewed_at
     }
 
+    /// Time since the newest call that renewed it was sent; none if it never was renewed.
+    pub fn age_ms(&self, now: Ms) -> Option<Ms> {
+        self.renewed_at.map(|at| now.saturating_sub(at))
+    }
+
     /// How long one renewal lasts.
     pub fn duration(&self) -> Ms {
         self.duration
--- a/src/core/common/mod.rs
+++ b/src/core/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod context;
 pub mod control_lease;
+pub mod decision_log;
 mod dependencies;
 pub(crate) mod election;
 pub(crate) mod feasibility;
--- a/src/core/leader/attempts.rs
+++ b/src/core/leader/attempts.rs
@@ -6,7 +6,9 @@
 
 use super::Leader;
 use super::free_capacity::InstanceLocation;
+use super::quota_watch::{AttemptDecision, Decision};
 use super::shards::ShardAssignment;
+use crate::core::common::context::NodeContext;
 use crate::model::{AttemptId, InstanceIndex, JobIndex, Ms, Resources, ShardIndex};
 use crate::wire::peer::ReportedPhase;
 use rustc_hash::FxHashMap;
@@ -26,6 +28,8 @@
     pub machine: Option<InstanceIndex>,
     /// Whether the shard owner may still choose an instance for it.
     pub may_bind: bool,
+    /// Whether it is known from a record that the leader has read at the start of its term.
+    pub is_from_record: bool,
     /// Whether it is to go on; otherwise the shard owner is to stop it.
     pub is_wanted: bool,
     /// Phase that the shard owner has last reported.
@@ -44,13 +48,7 @@
 impl Attempt {
     /// Whether it takes, or may take, capacity of its machine and quota of its team.
     pub(crate) fn occupies_capacity(&self) -> bool {
-        matches!(
-            self.state,
-            ReportedPhase::Bound
-                | ReportedPhase::Fetching
-                | ReportedPhase::Running
-                | ReportedPhase::Saving
-        )
+        self.state.occupies_capacity()
     }
 
     /// Marks it as no longer wanted. The shard owner learns of that with its next desired
@@ -154,7 +152,13 @@
 
 impl Leader {
     /// Creates an attempt at a task on an instance.
-    pub(super) fn new_attempt(&mut self, job: JobIndex, task: u32, location: InstanceLocation) {
+    pub(super) fn new_attempt(
+        &mut self,
+        context: &NodeContext,
+        job: JobIndex,
+        task: u32,
+        location: InstanceLocation,
+    ) {
         let Some(live) = self.jobs.get(&job) else { return };
         let attempt = Attempt {
             job,
@@ -162,6 +166,7 @@
             shard: location.shard,
             machine: Some(location.instance),
             may_bind: true,
+            is_from_record: false,
             is_wanted: true,
             state: ReportedPhase::Bound,
             demand: live.spec.demand(),
@@ -169,6 +174,14 @@
             ran_ms: 0,
             first_named_in: None,
         };
+        let made = AttemptDecision {
+            attempt: self.next_attempt,
+            job,
+            task,
+            shard: location.shard,
+            decision: Decision::Admitted,
+        };
+        self.note_decision(context, made);
         self.attempts.insert(self.next_attempt, attempt);
         self.next_attempt = self.next_attempt.next();
         self.shards[location.shard.place()].dirty = true;
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -23,6 +23,7 @@
 mod preemption;
 pub mod progress;
 mod quota;
+mod quota_watch;
 mod rebuild;
 mod reconciliation;
 mod run_times;
@@ -47,6 +48,7 @@
 use forecast::History;
 use live_jobs::LiveJob;
 use progress::{DeletionQueue, FinalStateWrite, LoadedSegment, ProgressSegment, SegmentWrite};
+use quota_watch::QuotaWatch;
 use rebuild::{RecordKind, RecordLoading};
 use serde::{Deserialize, Serialize};
 use shards::ShardAssignment;
@@ -169,6 +171,8 @@
     deletions: DeletionQueue,
     /// Whether the store has shown that its lower limits are in force.
     has_lowered_limits: bool,
+    /// Use of the teams' quotas, and the decisions that led to it.
+    quota_watch: QuotaWatch,
     /// Jobs to be cancelled since a dependency is.
     cancellations: CascadingCancellations,
     /// Other cells that share load; `None` only while they are at work.
@@ -201,11 +205,17 @@
             unclaimed_progress: HashMap::new(),
             deletions: DeletionQueue::default(),
             has_lowered_limits: false,
+            quota_watch: QuotaWatch::default(),
             cancellations: CascadingCancellations::default(),
             cells: Some(Box::new(Cells::new(context))),
         }
     }
 
+    /// Broken quotas that have been logged in this term.
+    pub(super) fn quota_alarms(&self) -> u64 {
+        self.quota_watch.alarms
+    }
+
     /// The compare under which everything is written: this term is the present one.
     fn compare_term(&self) -> Compare {
         Compare { key: LEADER.into(), version: self.term.number() }
--- a/src/core/leader/rebuild.rs
+++ b/src/core/leader/rebuild.rs
@@ -54,6 +54,8 @@
     progress: LoadState,
     fleet: LoadState,
     retry: Timer,
+    /// Revision of the last page of placement records.
+    placements_revision: u64,
 }
 
 impl RecordLoading {
@@ -103,6 +105,7 @@
         self.settle_recorded_attempts();
         tracing::info!(
             term = self.term.number(),
+            revision = self.loading.placements_revision,
             jobs = self.jobs.len(),
             attempts = self.attempts.len(),
             took_ms = context.clock.now() - self.term_started_at,
@@ -144,6 +147,9 @@
     /// Takes in a page of records; its last key if another page follows.
     fn apply_page(&mut self, context: &mut NodeContext, kind: RecordKind, page: Page) -> Option<String> {
         let last_key = page.items.last().map(|item| item.key.clone());
+        if kind == RecordKind::Placements {
+            self.loading.placements_revision = page.revision;
+        }
         for item in page.items {
             match kind {
                 RecordKind::Placements => self.apply_placement_item(context, &item),
@@ -260,6 +266,7 @@
         shard,
         machine: Some(machine),
         may_bind: false,
+        is_from_record: true,
         is_wanted: true,
         state: ReportedPhase::Bound,
         demand: Resources { cpus: *cpus, gpus: *gpus, mem: *mem },
--- a/src/core/leader/reconciliation.rs
+++ b/src/core/leader/reconciliation.rs
@@ -7,6 +7,7 @@
 
 use super::Leader;
 use super::attempts::Attempt;
+use super::quota_watch::{AttemptDecision, Decision, use_in_report};
 use super::run_times::learn_run_time;
 use crate::core::common::context::NodeContext;
 use crate::model::{AttemptId, FencingToken, InstanceIndex, JobIndex, Resources, ShardIndex, Term};
@@ -38,6 +39,19 @@
     task: &'a ReportedTask,
 }
 
+impl ReportedAttempt<'_> {
+    /// A decision about the attempt.
+    fn decided(&self, decision: Decision) -> AttemptDecision {
+        AttemptDecision {
+            attempt: AttemptId::new(self.task.attempt),
+            job: self.job.job,
+            task: self.task.task,
+            shard: self.shard,
+            decision,
+        }
+    }
+}
+
 impl Leader {
     /// Takes in a state that a shard owner reports. Ignored if it is meant for another term, or
     /// if the sender is not the owner with the present fencing token.
@@ -56,8 +70,10 @@
             assignment.has_reported = true;
             self.cycle_due = true;
         }
+        let teams = &context.platform.cluster.teams;
+        self.shards[shard.place()].reported_use = use_in_report(teams, &reported);
         let listed = self.apply_reported_state(context, shard, &reported);
-        self.remove_gone_attempts(shard, &listed, reported.echo);
+        self.remove_gone_attempts(context, shard, &listed, reported.echo);
     }
 
     fn accepts_reported_state(
@@ -105,7 +121,13 @@
     }
 
     /// Removes the attempts of a shard that a reported state proves to be gone.
-    fn remove_gone_attempts(&mut self, shard: ShardIndex, listed: &FxHashSet<AttemptId>, echo: u64) {
+    fn remove_gone_attempts(
+        &mut self,
+        context: &NodeContext,
+        shard: ShardIndex,
+        listed: &FxHashSet<AttemptId>,
+        echo: u64,
+    ) {
         let gone: Vec<AttemptId> = self
             .attempts
             .iter()
@@ -115,19 +137,25 @@
             .collect();
         for id in gone {
             if let Some(attempt) = self.attempts.remove(id) {
-                self.requeue(attempt.job, attempt.task);
+                let Attempt { job, task, first_named_in, .. } = attempt;
+                let decision = Decision::Gone { first_named_in, echo };
+                self.note_decision(context, AttemptDecision { attempt: id, job, task, shard, decision });
+                self.requeue(job, task);
             }
         }
     }
 
     fn apply_reported_attempt(&mut self, context: &NodeContext, reported: &ReportedAttempt) {
         if !self.attempts.contains(AttemptId::new(reported.task.attempt)) {
-            self.adopt_attempt(reported);
+            self.adopt_attempt(context, reported);
         }
         if !self.update_attempt(reported) {
             return;
         }
         self.cycle_due = true;
+        if !reported.task.state.occupies_capacity() {
+            self.note_decision(context, reported.decided(Decision::Ended(reported.task.state)));
+        }
         match reported.task.state {
             ReportedPhase::Done => self.on_attempt_done(reported),
             ReportedPhase::Failed => self.on_attempt_failed(context, reported),
@@ -143,7 +171,7 @@
 
     /// Adds an attempt that the leader doesn't know. It was bound for an earlier leader and is
     /// not in the records that this one has read: gone already, or known under a newer attempt.
-    fn adopt_attempt(&mut self, reported: &ReportedAttempt) {
+    fn adopt_attempt(&mut self, context: &NodeContext, reported: &ReportedAttempt) {
         let ReportedAttempt { shard, machine, job: &ReportedJobInfo { job, team, demand }, task } =
             *reported;
         let task_has_attempt = self.attempts.has_task(job, task.task);
@@ -162,6 +190,7 @@
             shard,
             machine: Some(machine),
             may_bind: false,
+            is_from_record: false,
             is_wanted,
             state: task.state,
             demand,
@@ -171,6 +200,7 @@
         };
         self.attempts.insert(AttemptId::new(task.attempt), attempt);
         self.shards[shard.place()].dirty = true;
+        self.note_decision(context, reported.decided(Decision::Adopted { is_wanted }));
     }
 
     /// Takes over where an attempt is and how far; whether its phase has changed.
--- a/src/core/leader/scheduling_cycle.rs
+++ b/src/core/leader/scheduling_cycle.rs
@@ -65,6 +65,7 @@
             used_by_team: self.team_use(context),
             admitted: 0,
         };
+        self.watch_quotas(context, &cycle.used_by_team);
         for job in self.starving_jobs(context, &order) {
             self.admit_starving_job(context, &mut cycle, job);
         }
@@ -119,6 +120,9 @@
         let demand = spec.demand();
         let team_settings = &context.platform.cluster.teams[team];
         let team_quota = quota_tasks(team_settings, &cycle.used_by_team[team], &demand);
+        if team_quota == 0 {
+            self.quota_watch.note_refused(team);
+        }
         let quota = max_tasks.map_or(team_quota, |most| team_quota.min(most));
         let mut zones = ZoneConstraints::for_job(context, self, job, &spec);
         let machines = match quota {
@@ -138,7 +142,7 @@
                 continue;
             };
             cycle.used_by_team[team].add(&demand);
-            self.admit_task(job, task, location);
+            self.admit_task(context, job, task, location);
             cycle.admitted += 1;
             admitted += 1;
         }
@@ -146,11 +150,17 @@
     }
 
     /// Admits the next task of a job: creates an attempt at it on an instance.
-    fn admit_task(&mut self, job: JobIndex, task: u32, location: InstanceLocation) {
+    fn admit_task(
+        &mut self,
+        context: &NodeContext,
+        job: JobIndex,
+        task: u32,
+        location: InstanceLocation,
+    ) {
         if let Some(live) = self.jobs.get_mut(&job) {
             live.admit_next_task();
         }
-        self.new_attempt(job, task, location);
+        self.new_attempt(context, job, task, location);
     }
 
     /// Jobs that get tasks ahead of all others in this cycle: those that have waited long
--- a/src/core/leader/shards.rs
+++ b/src/core/leader/shards.rs
@@ -11,7 +11,7 @@
 use crate::core::common::shard_map::KnownOwner;
 use crate::core::common::store_keys::shard_key;
 use crate::core::{StoreCallOwner, StoreRequest};
-use crate::model::{FencingToken, Ms, ShardIndex};
+use crate::model::{FencingToken, Ms, Resources, ShardIndex};
 use crate::wire::encoded::Encoded;
 use crate::wire::store::{Compare, CompareAndSwap, Mutation, ShardRecord};
 
@@ -51,6 +51,8 @@
     pub(super) fencing_token: Option<FencingToken>,
     /// Whether the owner with this token has reported its whole state.
     pub has_reported: bool,
+    /// What each team uses in the last reported state, by index of the team.
+    pub(super) reported_use: Vec<Resources>,
     /// Instances whose termination the cloud has confirmed.
     pub gone: Vec<GoneInstance>,
     /// Waiting tasks that the owner counts in its projection of load.
@@ -69,6 +71,7 @@
             attempts_sent: 0,
             fencing_token: None,
             has_reported: false,
+            reported_use: Vec::new(),
             gone: Vec::new(),
             waiting: Vec::new(),
             write: WriteState::default(),
@@ -109,6 +112,7 @@
         }
         shard.fencing_token = fencing_token;
         shard.has_reported = false;
+        shard.reported_use.clear();
         shard.dirty = true;
         for attempt in self.attempts.values_mut().filter(|attempt| attempt.shard == index) {
             attempt.may_bind = false;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -55,6 +55,8 @@
     pub store_calls: usize,
     /// Plans for scaling out that the leader has made in its term.
     pub plans: u64,
+    /// Quotas that the leader has found broken in its term.
+    pub quota_alarms: u64,
 }
 
 /// All roles of one node.
@@ -123,6 +125,7 @@
             fleet_machines: leader.map_or(0, |leader| leader.fleet.machines.len()),
             store_calls: self.context.store.pending_count(),
             plans: leader.map_or(0, |leader| leader.plans),
+            quota_alarms: leader.map_or(0, Leader::quota_alarms),
         }
     }
 
@@ -229,11 +232,19 @@
         if term == led_term {
             return;
         }
+        let read_age_ms = self.context.control_lease.age_ms(self.context.clock.now());
         if let Some(term) = term {
-            tracing::info!(term = term.number(), "became leader");
+            tracing::info!(term = term.number(), read_age_ms, "became leader");
             self.leader = Some(Leader::new(&mut self.context, term));
         } else {
-            tracing::info!(term = led_term.map(Term::number), "lost leadership");
+            let present = self.context.leadership.current();
+            tracing::info!(
+                term = led_term.map(Term::number),
+                present_term = present.map(|leader| leader.term.number()),
+                present_leader = present.map(|leader| leader.record.node.as_str()),
+                read_age_ms,
+                "lost leadership"
+            );
             self.leader = None;
         }
     }
--- a/src/core/shard_owner/attempt.rs
+++ b/src/core/shard_owner/attempt.rs
@@ -51,6 +51,8 @@
     pub(super) bound_at: Option<Ms>,
     /// When the write that recorded it was confirmed to this process.
     pub(super) recorded_at: Option<Ms>,
+    /// Revision of that write.
+    pub(super) recorded_revision: Option<u64>,
 }
 
 impl Attempt {
--- a/src/core/shard_owner/binding.rs
+++ b/src/core/shard_owner/binding.rs
@@ -161,6 +161,7 @@
         expected_ms: admitted.expected_ms,
         bound_at: Some(context.clock.now()),
         recorded_at: None,
+        recorded_revision: None,
     }
 }
 
--- a/src/core/shard_owner/loading.rs
+++ b/src/core/shard_owner/loading.rs
@@ -166,5 +166,6 @@
         expected_ms: 0,
         bound_at: None,
         recorded_at: None,
+        recorded_revision: None,
     }
 }
--- a/src/core/shard_owner/placement_records/write.rs
+++ b/src/core/shard_owner/placement_records/write.rs
@@ -150,7 +150,7 @@
     match result {
         StoreResponse::Committed { revision } => {
             record.on_committed(revision);
-            on_committed(shard, machines, &write, now);
+            on_committed(shard, machines, &write, Commit { revision, at: now });
         }
         StoreResponse::NotExecuted => {
             forget_new_attempts(machines, &write);
@@ -187,12 +187,19 @@
     }
 }
 
-fn on_committed(shard: &mut OwnedShard, machines: &mut Machines, write: &RecordWrite, now: Ms) {
+/// A write that was executed.
+#[derive(Debug, Clone, Copy)]
+struct Commit {
+    revision: u64,
+    at: Ms,
+}
+
+fn on_committed(shard: &mut OwnedShard, machines: &mut Machines, write: &RecordWrite, commit: Commit) {
     shard.has_unreported_changes = true;
     let mut outdated = Vec::new();
     let mut finished_moves = 0;
     for (index, machine) in machines.iter_mut().filter(|(_, machine)| machine.shard == write.shard) {
-        note_recorded_attempts(machine, write, now);
+        note_recorded_attempts(machine, write, commit);
         let left = finish_moves(machine, write);
         finished_moves += left.len();
         outdated.extend(left);
@@ -205,14 +212,15 @@
         // Some are gone meanwhile, and now listed here for nothing.
         outdated.push(write.record);
     }
-    shard.records.mark_outdated(outdated, now);
+    shard.records.mark_outdated(outdated, commit.at);
 }
 
-fn note_recorded_attempts(machine: &mut Machine, write: &RecordWrite, now: Ms) {
+fn note_recorded_attempts(machine: &mut Machine, write: &RecordWrite, commit: Commit) {
     for attempt in &mut machine.attempts {
         if attempt.record == write.record && write.new_attempts.contains(&attempt.id) {
             attempt.recording = RecordingState::Recorded;
-            attempt.recorded_at = Some(now);
+            attempt.recorded_at = Some(commit.at);
+            attempt.recorded_revision = Some(commit.revision);
         }
     }
 }
--- a/src/core/shard_owner/worker_commands.rs
+++ b/src/core/shard_owner/worker_commands.rs
@@ -4,10 +4,11 @@
 use super::attempt::Attempt;
 use super::machine::Machine;
 use crate::core::common::context::NodeContext;
-use crate::model::JobSpec;
+use crate::model::{FencingToken, JobSpec, Term};
 use crate::wire::store::JobState;
 use crate::wire::workers::{Command, CommandAction, HeartbeatTask, TaskState};
 use woadlever_recovery::attempt::{self, ActionConditions, AttemptPhase, JobEligibility, WorkerAction};
+use woadlever_recovery::worker::HeartbeatVersion;
 
 /// Whether a parked heartbeat is to be answered at once for this attempt.
 pub(super) fn has_command(context: &NodeContext, attempt: &Attempt) -> bool {
@@ -38,7 +39,12 @@
         let Some(action) = action else { continue };
         if action == WorkerAction::Start {
             attempt.start_sent.get_or_insert(machine.liveness.newest());
-            log_start(context, &machine.name, attempt);
+            let answered = StartAnswer {
+                machine: &machine.name,
+                fencing_token: machine.fencing_token,
+                heartbeat: machine.liveness.newest(),
+            };
+            log_start(context, answered, attempt);
         }
         commands.push(command_for(context, attempt, action, spec));
     }
@@ -80,15 +86,31 @@
     Command { action, task: task.task.clone(), attempt: task.attempt, grace_s }
 }
 
-/// Logs how long it took to record an attempt, and then until its machine was heard.
-fn log_start(context: &NodeContext, machine: &str, attempt: &Attempt) {
+/// The answer that carries a start command.
+#[derive(Debug, Clone, Copy)]
+struct StartAnswer<'a> {
+    machine: &'a str,
+    fencing_token: FencingToken,
+    /// Version of the heartbeat that is answered.
+    heartbeat: HeartbeatVersion,
+}
+
+/// Logs why a start was allowed, how long it took to record the attempt, and then until its
+/// machine was heard.
+fn log_start(context: &NodeContext, answer: StartAnswer<'_>, attempt: &Attempt) {
     let bound_at = attempt.bound_at.unwrap_or(0);
     let recorded_at = attempt.recorded_at.unwrap_or(0);
     tracing::debug!(
-        machine,
+        machine = answer.machine,
+        fencing_token = answer.fencing_token.number(),
+        incarnation = answer.heartbeat.incarnation,
+        sequence = answer.heartbeat.sequence,
         job = context.jobs.id(attempt.job),
         task = attempt.task,
         attempt = attempt.id.number(),
+        present_term = context.leadership.term().map(Term::number),
+        revision = attempt.recorded_revision,
+        read_age_ms = context.control_lease.age_ms(context.clock.now()),
         record_ms = recorded_at.saturating_sub(bound_at),
         wait_ms = context.clock.now().saturating_sub(recorded_at),
         "start command sent"
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -234,3 +234,16 @@
     /// The machine refused the start.
     Refused,
 }
+
+impl ReportedPhase {
+    /// Whether the attempt takes, or may take, capacity of its machine and quota of its team.
+    pub fn occupies_capacity(self) -> bool {
+        matches!(
+            self,
+            ReportedPhase::Bound
+                | ReportedPhase::Fetching
+                | ReportedPhase::Running
+                | ReportedPhase::Saving
+        )
+    }
+}
--- a/tests/support/oracle.rs
+++ b/tests/support/oracle.rs
@@ -43,6 +43,8 @@
     pub broken: Vec<String>,
     /// Starts that were checked against the quota of their team.
     pub checked_starts: u64,
+    /// Alarms that the leader on a node has raised, as of the last step.
+    quota_alarms: HashMap<usize, u64>,
     called_done: HashSet<String>,
     /// By name of the team.
     teams: HashMap<String, TeamUse>,
@@ -235,11 +237,23 @@
     pub(super) fn check(&mut self) {
         self.check_cancelled_jobs_are_gone();
         self.check_done_jobs_were_started();
+        self.check_quota_alarms();
         let unadmitted = self.store.recorded_attempts.take_unadmitted();
         let broken = unadmitted.into_iter().map(|found| format!("{} {found}", self.now));
         self.oracle.broken.extend(broken);
     }
 
+    /// The leaders' own counts agree with what shard owners report, and with the limits.
+    fn check_quota_alarms(&mut self) {
+        for node in 0..self.node_count {
+            let alarms = self.core(node).map_or(0, |core| core.statistics().quota_alarms);
+            let known = self.oracle.quota_alarms.insert(node, alarms).unwrap_or(0);
+            if alarms > known {
+                self.oracle.broken.push(format!("{} quota alarm at n{node}: {alarms}", self.now));
+            }
+        }
+    }
+
     fn check_cancelled_jobs_are_gone(&mut self) {
         for (job, at) in &self.users.cancelled {
             let is_there = |task: &WorkerTask| task.job == *job && task.state != TaskState::Exited;
