Test, failing: a desired state that was parked is taken in under the next leader

Cause: found on the way through all paths by which an attempt becomes wanted. A desired state is compared with the present term as it arrives, and may then wait two seconds for jobs to become known; when it is taken in, its leader may be gone.

--- a/tests/combined_faults/quotas.rs
+++ b/tests/combined_faults/quotas.rs
@@ -111,3 +111,25 @@
         takeover.world.assert_rules_kept();
     }
 }
+
+/// A desired state waits at a shard owner for a job that the owner has yet to learn of, as the
+/// store refuses it alone. Its leader is lost meanwhile, and the owner learns of the job and of
+/// the next leader by one answer. What the former leader wanted was then bound all the same, and
+/// recorded for the next one.
+#[test]
+fn what_a_former_leader_wanted_is_not_bound_once_another_leads() {
+    let mut takeover = Takeover::new(652);
+    let (leader, owner) = (takeover.old_leader, takeover.new_leader);
+    let term = takeover.world.store.records["w/leader"].version;
+    takeover.world.store.refuses.insert(owner);
+    takeover.world.accept(leader, &Takeover::whole_team_job(1, owner));
+    takeover.world.crash(leader, 200);
+    takeover.world.run(600);
+    let next_term = takeover.world.store.records["w/leader"].version;
+    assert!(next_term > term, "no other leader");
+    takeover.world.store.refuses.clear();
+    takeover.world.run(10_000);
+
+    assert_eq!(starts_of(&takeover.world, 1), TEAM_TASKS as usize);
+    takeover.world.assert_rules_kept();
+}
