An admission holds for the term of its leader: what is unrecorded lapses with it

Cause: attempts that a former leader admitted and nobody had recorded were reported to the next one, which adopted them without any check of admission (quota, zones, capacity), and its term then served to record and start them. It had not counted them in what it admitted meanwhile. The same class in a second path: a parked desired state was taken in after its leader had been succeeded. Change: a shard owner records an attempt only under the term that admitted it and gives up what has lapsed before it reports; the leader lets what it does not know go on only if it is on its machine, and gives its task no other attempt until it is gone; a parked desired state is compared with the term again. The verdict on reported attempts takes whether they are on their machine; its test asks both.

--- a/crates/recovery/src/disposition.rs
+++ b/crates/recovery/src/disposition.rs
@@ -20,6 +20,15 @@
     pub is_done: bool,
 }
 
+/// What the leader knows of an attempt that a shard owner reports to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedAttemptStatus {
+    /// Whether the leader knows another attempt at the same task.
+    pub has_other_attempt: bool,
+    /// Whether a heartbeat has listed it: it is on its machine, or was.
+    pub is_on_machine: bool,
+}
+
 impl AttemptDisposition {
     /// What a new leader does with an attempt that the placement records list.
     pub fn of_recorded(task: TaskStatus) -> AttemptDisposition {
@@ -33,9 +42,14 @@
     /// What the leader does with an attempt that a shard owner reports and that the
     /// records did not list when the leader read them: bound for an earlier leader.
     /// Another attempt at the same task is newer, as it was admitted after this one was
-    /// proven gone or never seen.
-    pub fn of_reported(task: TaskStatus, has_other_attempt: bool) -> AttemptDisposition {
-        if has_other_attempt { AttemptDisposition::Stop } else { AttemptDisposition::of_recorded(task) }
+    /// proven gone or never seen. One that was never seen on its machine was not recorded in
+    /// time: this leader has not counted it in what it has admitted since.
+    pub fn of_reported(task: TaskStatus, attempt: ReportedAttemptStatus) -> AttemptDisposition {
+        if attempt.has_other_attempt || !attempt.is_on_machine {
+            AttemptDisposition::Stop
+        } else {
+            AttemptDisposition::of_recorded(task)
+        }
     }
 }
 
--- a/crates/recovery/tests/verdicts.rs
+++ b/crates/recovery/tests/verdicts.rs
@@ -9,7 +9,7 @@
     judge,
 };
 use woadlever_recovery::disposition::{
-    AttemptDisposition, TaskAttempt, TaskStatus, is_proven_gone, superseded,
+    AttemptDisposition, ReportedAttemptStatus, TaskAttempt, TaskStatus, is_proven_gone, superseded,
 };
 use woadlever_recovery::shard::{RecoveryPhase, ShardRecovery};
 use woadlever_recovery::worker::{
@@ -111,9 +111,13 @@
     assert_eq!(of_recorded(status(true, false)), AttemptDisposition::Keep);
     assert_eq!(of_recorded(status(true, true)), AttemptDisposition::Stop);
     assert_eq!(of_recorded(status(false, false)), AttemptDisposition::Stop);
-    let of_reported = AttemptDisposition::of_reported;
-    assert_eq!(of_reported(status(true, false), false), AttemptDisposition::Keep);
-    assert_eq!(of_reported(status(true, false), true), AttemptDisposition::Stop);
+    let of_reported = |has_other_attempt, is_on_machine| {
+        let attempt = ReportedAttemptStatus { has_other_attempt, is_on_machine };
+        AttemptDisposition::of_reported(status(true, false), attempt)
+    };
+    assert_eq!(of_reported(false, true), AttemptDisposition::Keep);
+    assert_eq!(of_reported(true, true), AttemptDisposition::Stop);
+    assert_eq!(of_reported(false, false), AttemptDisposition::Stop);
     let attempts = [(1, 0, 5), (1, 0, 8), (1, 1, 3), (2, 0, 9)];
     let attempts = attempts.map(|(job, task, attempt)| TaskAttempt { job, task, attempt });
     assert_eq!(superseded(&attempts), [5]);
--- a/src/core/leader/reconciliation.rs
+++ b/src/core/leader/reconciliation.rs
@@ -13,7 +13,9 @@
 use crate::model::{AttemptId, FencingToken, InstanceIndex, JobIndex, Resources, ShardIndex, Term};
 use crate::wire::peer::{ReportedJob, ReportedPhase, ReportedState, ReportedTask};
 use rustc_hash::FxHashSet;
-use woadlever_recovery::disposition::{AttemptDisposition, TaskStatus, is_proven_gone};
+use woadlever_recovery::disposition::{
+    AttemptDisposition, ReportedAttemptStatus, TaskStatus, is_proven_gone,
+};
 
 /// A job of a reported state, looked up once for all its tasks.
 struct ReportedJobInfo {
@@ -170,7 +172,9 @@
     }
 
     /// Adds an attempt that the leader doesn't know. It was bound for an earlier leader and is
-    /// not in the records that this one has read: gone already, or known under a newer attempt.
+    /// not in the records that this one has read: gone already, known under a newer attempt, or
+    /// never recorded. Nothing that admission checks has been checked for it since (quota,
+    /// zones, capacity), so it goes on only if it is on its machine already.
     fn adopt_attempt(&mut self, context: &NodeContext, reported: &ReportedAttempt) {
         let ReportedAttempt { shard, machine, job: &ReportedJobInfo { job, team, demand }, task } =
             *reported;
@@ -178,9 +182,14 @@
         let live = self.jobs.get_mut(&job).filter(|live| !live.is_away());
         let is_done = live.as_ref().is_some_and(|live| live.done.contains(task.task));
         let status = TaskStatus { job_is_live: live.is_some(), is_done };
-        let disposition = AttemptDisposition::of_reported(status, task_has_attempt);
+        let seen = ReportedAttemptStatus {
+            has_other_attempt: task_has_attempt,
+            is_on_machine: task.state != ReportedPhase::Bound,
+        };
+        let disposition = AttemptDisposition::of_reported(status, seen);
         let is_wanted = disposition == AttemptDisposition::Keep;
-        if let Some(live) = live.filter(|_| is_wanted) {
+        // Until it is gone, its task gets no other attempt.
+        if let Some(live) = live {
             live.note_attempt(task.task);
             live.cancel_retry(task.task);
         }
--- a/src/core/shard_owner/attempt.rs
+++ b/src/core/shard_owner/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::placement_records::RecordIndex;
 use crate::core::common::context::NodeContext;
-use crate::model::{AttemptId, JobIndex, Ms, Resources};
+use crate::model::{AttemptId, JobIndex, Ms, Resources, Term};
 use crate::wire::store::JobState;
 use woadlever_recovery::attempt::{AttemptPhase, AttemptState};
 use woadlever_recovery::worker::HeartbeatVersion;
@@ -49,6 +49,8 @@
     pub(super) expected_ms: Ms,
     /// When this process bound it; none if a former owner did.
     pub(super) bound_at: Option<Ms>,
+    /// Term of the leader that this process bound it for; none if a former owner bound it.
+    pub(super) admitted_in: Option<Term>,
     /// When the write that recorded it was confirmed to this process.
     pub(super) recorded_at: Option<Ms>,
     /// Revision of that write.
@@ -82,13 +84,23 @@
     }
 
     /// Whether it waits for the write that must be durable before its start command.
+    ///
+    /// Only the leader that admitted it counts it. A later one counts what was on record when
+    /// its term began: recorded after that, it would run beside what that leader admits.
     pub(super) fn needs_recording(&self, context: &NodeContext) -> bool {
         !self.is_recorded()
             && self.is_wanted
+            && self.admitted_in == context.leadership.term()
             && context.job(self.job).state == JobState::Live
             && !context.must_stop(self.job)
     }
 
+    /// Whether it is not on record and never will be, as the leader that admitted it has been
+    /// succeeded by the one of this term.
+    pub(super) fn has_lapsed(&self, term: Term) -> bool {
+        self.recording == RecordingState::Unrecorded && self.admitted_in != Some(term)
+    }
+
     /// Notes that the write that would have added it was not executed.
     pub(super) fn forget_sent_write(&mut self) {
         if self.recording == RecordingState::WriteSent {
--- a/src/core/shard_owner/binding.rs
+++ b/src/core/shard_owner/binding.rs
@@ -7,7 +7,7 @@
 use super::placement_records::{self, RecordIndex};
 use crate::core::common::context::NodeContext;
 use crate::core::common::placement;
-use crate::model::{AttemptId, JobIndex, JobSpec, MachineIndex, Ms, Resources, ShardIndex};
+use crate::model::{AttemptId, JobIndex, JobSpec, MachineIndex, Ms, Resources, ShardIndex, Term};
 use crate::wire::store::JobState;
 use std::sync::Arc;
 use woadlever_recovery::attempt::AttemptPhase;
@@ -34,6 +34,8 @@
     pub(super) task: u32,
     /// Expected run time.
     pub(super) expected_ms: Ms,
+    /// Term of the leader.
+    pub(super) term: Term,
 }
 
 impl ShardOwner {
@@ -160,6 +162,7 @@
         ran_ms: 0,
         expected_ms: admitted.expected_ms,
         bound_at: Some(context.clock.now()),
+        admitted_in: Some(admitted.term),
         recorded_at: None,
         recorded_revision: None,
     }
--- a/src/core/shard_owner/desired_state.rs
+++ b/src/core/shard_owner/desired_state.rs
@@ -52,7 +52,7 @@
 
     /// The tasks to bind, by the ids of their attempts: those that may be bound and are on
     /// no machine yet.
-    fn admitted(&self, known: &FxHashSet<AttemptId>) -> Vec<AdmittedTask> {
+    fn admitted(&self, known: &FxHashSet<AttemptId>, term: Term) -> Vec<AdmittedTask> {
         let mut admitted: Vec<AdmittedTask> = self
             .wanted
             .iter()
@@ -62,6 +62,7 @@
                 job: desired.job,
                 task: desired.task,
                 expected_ms: desired.expected_ms,
+                term,
             })
             .collect();
         admitted.sort_unstable_by_key(|task| task.attempt);
@@ -124,7 +125,9 @@
         let is_due = |parked: &mut ParkedDesiredState| {
             now > parked.since + MAX_PARKED_MS || knows_jobs(context, &parked.message)
         };
-        if let Some(parked) = shard.parked_desired_state.take_if(is_due) {
+        let parked = shard.parked_desired_state.take_if(is_due);
+        // Its leader may have been succeeded while it was parked.
+        if let Some(parked) = parked.filter(|parked| is_current(context, shard, &parked.message)) {
             self.take_desired_state(context, parked.message);
         }
     }
@@ -145,7 +148,7 @@
             self.begin_decommission(entry, index, fencing_token);
         }
         let known = self.apply_to_machines(context, index, &message, &desired);
-        let admitted = desired.admitted(&known);
+        let admitted = desired.admitted(&known, Term::new(message.term));
         if !admitted.is_empty() {
             self.bind_all(context, index, &admitted);
         }
--- a/src/core/shard_owner/loading.rs
+++ b/src/core/shard_owner/loading.rs
@@ -165,6 +165,7 @@
         ran_ms: 0,
         expected_ms: 0,
         bound_at: None,
+        admitted_in: None,
         recorded_at: None,
         recorded_revision: None,
     }
--- a/src/core/shard_owner/mod.rs
+++ b/src/core/shard_owner/mod.rs
@@ -7,12 +7,13 @@
 //!
 //! Three things keep a task from running twice. An attempt is recorded before its start
 //! command goes out, with compares that any later leader or shard owner breaks by its own
-//! writes. Start commands go out only in responses to heartbeats. And an attempt counts as
+//! writes, and only while the leader that admitted it leads. Start commands go out only in responses to heartbeats. And an attempt counts as
 //! gone only once a newer heartbeat, from a worker that knows our fencing token, does not
 //! list it, or its lease has surely ended, or the cloud has confirmed the machine's
 //! termination.
 //!
 //! - [`binding`], [`desired_state`]: what the leader wants, and the machines chosen for it;
+//! - [`lapsed_admissions`]: what a former leader wanted;
 //! - [`worker_heartbeats`], [`parked_heartbeats`]: taking in heartbeats and answering them;
 //! - [`worker_commands`], [`direct_commands`]: what workers are told to do;
 //! - [`reconciliation`]: what heartbeats and ends of leases prove about attempts;
@@ -23,6 +24,7 @@
 mod binding;
 mod desired_state;
 mod direct_commands;
+mod lapsed_admissions;
 mod load_projection;
 mod loading;
 mod machine;
@@ -128,6 +130,7 @@
         // heartbeats a second reach a node.
         if now >= self.next_scan_at {
             self.next_scan_at = now + SCAN_GAP_MS;
+            self.give_up_lapsed_admissions(context);
             placement_records::write_due_records(context, &mut self.shards, &mut self.machines);
             self.answer_due_heartbeats(context);
             self.report_to_leader(context);
