Test, failing: a job bound to one zone is admitted in two after a total loss

A new leader counts attempts on record that have ended as well; with some in one zone and live ones in another, a job bound to one zone was allowed in both.

--- a/tests/combined_faults/main.rs
+++ b/tests/combined_faults/main.rs
@@ -17,3 +17,4 @@
 mod processes;
 mod quotas;
 mod store_writes;
+mod zones;
--- /dev/null
+++ b/tests/combined_faults/zones.rs
@@ -0,0 +1,73 @@
+//! Jobs bound to one zone while all nodes are lost.
+
+use crate::fixtures::id;
+use crate::support::{World, job};
+use serde_json::json;
+
+/// Tasks that fit on one machine.
+const TASKS_PER_MACHINE: usize = 4;
+
+/// Tasks of a job that run, by zone.
+fn running_in(world: &World, number: u32, zone: &str) -> usize {
+    let machines = world.workers.iter().filter(|worker| worker.zone == zone);
+    let tasks = machines.flat_map(|worker| &worker.tasks);
+    tasks.filter(|task| task.job == id(number) && task.why.is_none()).count()
+}
+
+/// Whether a placement record of a zone lists a job.
+fn is_on_record(world: &World, number: u32, zone: &str) -> bool {
+    let prefix = format!("place/{zone}");
+    let records = world.store.records_under(&prefix);
+    records.into_iter().any(|(_, record)| record.value["j"].to_string().contains(&id(number)))
+}
+
+/// A job's tasks were done in one zone and its next ones went to another, where there was room.
+/// The placement records of the first zone still listed the tasks that were done when all nodes
+/// were lost. The next leader counted them there, and the running ones in the other zone: with
+/// tasks in both, either zone was taken for the job's own. It admitted in both, as in drawn faults
+/// `task=14 shard="east.0" decision=Admitted` and `task=12 shard="west.1" decision=Admitted` in
+/// one scheduling cycle of term 179, and a task started in the west beside three in the east.
+#[test]
+fn a_job_bound_to_one_zone_stays_there_when_records_still_list_another() {
+    let mut world = World::new(2, 660);
+    world.cloud.capacity = 0;
+    for number in 0..3 {
+        world.add_worker(number, "east", false, 500);
+    }
+    world.run(10_000);
+    world.run_ms = 90_000;
+    let mut cancelled_later = job(3, "t1", 4, 90.0);
+    cancelled_later["yard"] = json!("east");
+    world.accept(0, &cancelled_later);
+    world.run(2_000);
+    world.run_ms = 8_000;
+    let mut bound = job(1, "t1", 16, 8.0);
+    bound["one_zone"] = json!(true);
+    world.accept(0, &bound);
+    world.run(2_000);
+    assert_eq!(running_in(&world, 1, "east"), 2 * TASKS_PER_MACHINE);
+
+    // Takes the capacity in the east when the first tasks are done; the next ones go west.
+    world.run_ms = 90_000;
+    let mut urgent = job(2, "t0", 8, 90.0);
+    urgent["urgency"] = json!("urgent");
+    urgent["yard"] = json!("east");
+    world.accept(0, &urgent);
+    world.add_worker(3, "west", false, 500);
+    let end = world.now + 20_000;
+    while running_in(&world, 1, "west") < TASKS_PER_MACHINE && world.now < end {
+        world.run(25);
+    }
+    assert_eq!(running_in(&world, 1, "west"), TASKS_PER_MACHINE);
+    assert!(is_on_record(&world, 1, "east"), "the tasks that are done");
+    // They are still listed when all nodes are lost, and nothing disproves it for a while.
+    for worker in &mut world.workers {
+        worker.mute = worker.tasks.iter().any(|task| task.job == id(2));
+    }
+    (0..2).for_each(|node| world.crash(node, 200));
+    world.run(1_000);
+    world.cancel(0, &id(3));
+    world.run(12_000);
+
+    world.assert_rules_kept();
+}
