A job bound to one zone waits while its attempts are counted in several

Cause: a zone was allowed as soon as some attempt of the job was counted there, also when others were counted elsewhere, as after a total loss with records that list what has ended. Change: it is allowed only if no attempt is counted in another zone.

--- a/src/core/leader/zones.rs
+++ b/src/core/leader/zones.rs
@@ -58,8 +58,10 @@
 
     /// Whether one more task may be placed in a zone.
     pub(super) fn allows(&self, zone: &str) -> bool {
-        let is_elsewhere = !self.tasks_by_zone.is_empty() && !self.tasks_by_zone.contains_key(zone);
-        if self.is_one_zone && is_elsewhere {
+        // A new leader may count tasks in several zones, as records also list what has ended.
+        // Which of them is the job's own is known once all others are proven gone.
+        let is_elsewhere = || self.tasks_by_zone.keys().any(|other| other != zone);
+        if self.is_one_zone && is_elsewhere() {
             return false;
         }
         let here = self.tasks_by_zone.get(zone).copied().unwrap_or(0);
