Quota alarm: what has ended or is only on record is no confirmed use

Cause: drawn faults raised the alarm without a task too many: a later owner of a shard lists what has ended by a stale record, or shows it running by a late copy of a heartbeat. Change: each attempt has the evidence for it (record, admission, heartbeat that shows the owner's token, ended), and only admissions and such heartbeats count as confirmed.

--- a/src/core/leader/attempts.rs
+++ b/src/core/leader/attempts.rs
@@ -15,6 +15,19 @@
 use std::collections::BTreeSet;
 use woadlever_recovery::disposition::{TaskAttempt, superseded};
 
+/// What says that an attempt is on a machine, or will be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Evidence {
+    /// A record, or a report that may rest on a late copy of a heartbeat: it may be out of date.
+    Record,
+    /// This leader has admitted it.
+    Admission,
+    /// A heartbeat that shows the fencing token of the shard's owner.
+    Heartbeat,
+    /// None: it has ended, whatever a later owner of its shard may find on record.
+    Ended,
+}
+
 /// One attempt at a task, as the leader knows it.
 #[derive(Debug)]
 pub(crate) struct Attempt {
@@ -28,8 +41,8 @@
     pub machine: Option<InstanceIndex>,
     /// Whether the shard owner may still choose an instance for it.
     pub may_bind: bool,
-    /// Whether it is known from a record that the leader has read at the start of its term.
-    pub is_from_record: bool,
+    /// What says that it is on a machine, or will be.
+    pub evidence: Evidence,
     /// Whether it is to go on; otherwise the shard owner is to stop it.
     pub is_wanted: bool,
     /// Phase that the shard owner has last reported.
@@ -51,6 +64,15 @@
         self.state.occupies_capacity()
     }
 
+    /// Takes in what a reported phase says of it.
+    pub(super) fn note_evidence(&mut self, phase: ReportedPhase, is_fenced: bool) {
+        if !phase.occupies_capacity() {
+            self.evidence = Evidence::Ended;
+        } else if is_fenced && phase != ReportedPhase::Bound && self.evidence != Evidence::Ended {
+            self.evidence = Evidence::Heartbeat;
+        }
+    }
+
     /// Marks it as no longer wanted. The shard owner learns of that with its next desired
     /// state.
     pub(crate) fn stop(&mut self, shards: &mut [ShardAssignment]) {
@@ -166,7 +188,7 @@
             shard: location.shard,
             machine: Some(location.instance),
             may_bind: true,
-            is_from_record: false,
+            evidence: Evidence::Admission,
             is_wanted: true,
             state: ReportedPhase::Bound,
             demand: live.spec.demand(),
--- a/src/core/leader/quota_watch.rs
+++ b/src/core/leader/quota_watch.rs
@@ -6,7 +6,7 @@
 //! decisions. Every so often the figures are logged as they are (docs/operations.md).
 
 use super::Leader;
-use super::attempts::Attempt;
+use super::attempts::{Attempt, Evidence};
 use super::timer::Timer;
 use crate::config::Team;
 use crate::core::common::context::NodeContext;
@@ -130,17 +130,12 @@
         sum
     }
 
-    /// What a team uses without attempts that may not be on a machine at all: those that only a
-    /// record of a former leader's time lists, which may be out of date, those whose task is
-    /// done as a former shard owner has reported, and those that are not wanted and were never
-    /// seen.
+    /// What a team uses without attempts that may not be on a machine at all: those that only
+    /// records show, and those that have ended and that a later shard owner lists again.
     fn confirmed_use(&self, team: usize) -> Resources {
         let mut used = Resources::default();
         for (_, attempt) in self.counted_attempts(team) {
-            let is_done =
-                self.jobs.get(&attempt.job).is_some_and(|live| live.done.contains(attempt.task));
-            let is_expected = attempt.is_wanted && !attempt.is_from_record && !is_done;
-            if is_expected || attempt.state != ReportedPhase::Bound {
+            if matches!(attempt.evidence, Evidence::Admission | Evidence::Heartbeat) {
                 used.add(&attempt.demand);
             }
         }
--- a/src/core/leader/rebuild.rs
+++ b/src/core/leader/rebuild.rs
@@ -4,7 +4,7 @@
 //! All three are read at once. The leader becomes active when it has them all; until then it
 //! decides nothing. A read that fails is repeated from its beginning.
 
-use super::attempts::Attempt;
+use super::attempts::{Attempt, Evidence};
 use super::progress::{LoadedSegment, ProgressSegment};
 use super::timer::Timer;
 use super::{FleetRecord, Leader, LeaderCall};
@@ -266,7 +266,7 @@
         shard,
         machine: Some(machine),
         may_bind: false,
-        is_from_record: true,
+        evidence: Evidence::Record,
         is_wanted: true,
         state: ReportedPhase::Bound,
         demand: Resources { cpus: *cpus, gpus: *gpus, mem: *mem },
--- a/src/core/leader/reconciliation.rs
+++ b/src/core/leader/reconciliation.rs
@@ -6,7 +6,7 @@
 //! the reported state answers a desired state that named it.
 
 use super::Leader;
-use super::attempts::Attempt;
+use super::attempts::{Attempt, Evidence};
 use super::quota_watch::{AttemptDecision, Decision, use_in_report};
 use super::run_times::learn_run_time;
 use crate::core::common::context::NodeContext;
@@ -39,6 +39,8 @@
     machine: InstanceIndex,
     job: &'a ReportedJobInfo,
     task: &'a ReportedTask,
+    /// Whether the machine's heartbeats show the fencing token of the shard's owner.
+    is_fenced: bool,
 }
 
 impl ReportedAttempt<'_> {
@@ -116,7 +118,9 @@
             for task in &reported_machine.tasks {
                 let Some(job) = jobs.get(task.job as usize) else { continue };
                 listed.insert(AttemptId::new(task.attempt));
-                self.apply_reported_attempt(context, &ReportedAttempt { shard, machine, job, task });
+                let is_fenced = reported_machine.fenced;
+                let attempt = ReportedAttempt { shard, machine, job, task, is_fenced };
+                self.apply_reported_attempt(context, &attempt);
             }
         }
         listed
@@ -176,8 +180,9 @@
     /// never recorded. Nothing that admission checks has been checked for it since (quota,
     /// zones, capacity), so it goes on only if it is on its machine already.
     fn adopt_attempt(&mut self, context: &NodeContext, reported: &ReportedAttempt) {
-        let ReportedAttempt { shard, machine, job: &ReportedJobInfo { job, team, demand }, task } =
-            *reported;
+        let ReportedAttempt {
+            shard, machine, job: &ReportedJobInfo { job, team, demand }, task, ..
+        } = *reported;
         let task_has_attempt = self.attempts.has_task(job, task.task);
         let live = self.jobs.get_mut(&job).filter(|live| !live.is_away());
         let is_done = live.as_ref().is_some_and(|live| live.done.contains(task.task));
@@ -199,7 +204,7 @@
             shard,
             machine: Some(machine),
             may_bind: false,
-            is_from_record: false,
+            evidence: Evidence::Record,
             is_wanted,
             state: task.state,
             demand,
@@ -214,7 +219,7 @@
 
     /// Takes over where an attempt is and how far; whether its phase has changed.
     fn update_attempt(&mut self, reported: &ReportedAttempt) -> bool {
-        let ReportedAttempt { machine, task, .. } = *reported;
+        let ReportedAttempt { machine, task, is_fenced, .. } = *reported;
         let Some(attempt) = self.attempts.get_mut(AttemptId::new(task.attempt)) else { return false };
         if attempt.machine != Some(machine) || attempt.may_bind {
             self.cycle_due = true;
@@ -222,6 +227,7 @@
         attempt.machine = Some(machine);
         attempt.may_bind = false;
         attempt.ran_ms = task.ran_ms;
+        attempt.note_evidence(task.state, is_fenced);
         let has_changed = attempt.state != task.state;
         attempt.state = task.state;
         has_changed
