Soak: teams at their limits through drawn faults, on 110 and 1,500 machines

Cause: drawn faults kept no team at its limit, froze no process, and refused no leader for about its lease. Change: tests/soak with seeds from the environment; the stand-in's machines that hang drop their tasks with their lease, and a crash ends a suspension.

--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,162 @@
+//! Teams at their limits through faults drawn at random, with short gaps between them.
+//!
+//! CI plays a few fixed seeds. `SOAK_SEEDS=200 SOAK_FIRST=1000 cargo test --release --test soak`
+//! plays others (CONTRIBUTING.md). A seed that breaks a rule is named and plays the same way
+//! again with `SOAK_SEEDS=1 SOAK_FIRST=<seed>`; `SOAK_LOG=debug` adds what the nodes log, with the
+//! simulated time and the faults.
+
+#![allow(unreachable_pub, reason = "modules of a test program are not a library")]
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, reason = "a test fails by panicking")]
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod faults;
+
+use faults::Faults;
+use rand::RngExt;
+use serde_json::json;
+use support::{PinnedTeams, World, ZONES, job};
+use tracing::Level;
+
+/// Tasks take four CPUs of a machine's sixteen.
+const CPUS_PER_TASK: u32 = 4;
+const CPUS_PER_MACHINE: u32 = 16;
+const TASKS_PER_JOB: u32 = 40;
+/// Time for the machines to be up and a leader to lead.
+const WARM_UP_MS: u64 = 14_000;
+/// How long faults are drawn.
+const FAULTS_MS: u64 = 90_000;
+/// Once all faults are over, all that was accepted is done within this time.
+const RECOVERY_MS: u64 = 240_000;
+
+/// A cluster to be played.
+#[derive(Debug, Clone, Copy)]
+struct Cluster {
+    nodes: usize,
+    machines: usize,
+    teams: PinnedTeams,
+    /// Rounds of work that each team has for all that it may use.
+    rounds: u32,
+}
+
+impl Cluster {
+    /// `machines` machines, and teams whose limits add up to nearly all of them.
+    fn new(nodes: usize, machines: usize, teams: u32, is_fleet: bool) -> Cluster {
+        let cpus_max = machines as u32 * CPUS_PER_MACHINE * 9 / 10 / teams;
+        // A limit that no number of tasks meets exactly, and a guarantee near it.
+        let cpus_max = cpus_max / CPUS_PER_TASK * CPUS_PER_TASK + 1;
+        let teams = PinnedTeams { count: teams, cpus: cpus_max * 9 / 10, cpus_max, is_fleet };
+        Cluster { nodes, machines, teams, rounds: if is_fleet { 3 } else { 8 } }
+    }
+
+    /// The world with its machines, and more work than the teams may run.
+    fn start(self, seed: u64) -> World {
+        let mut world = World::pinned(self.nodes, seed, self.teams);
+        world.cloud.capacity = self.machines;
+        world.cloud.rented = self.machines;
+        for number in 0..self.machines {
+            let boot_ms = world.rng.random_range(200..6_000);
+            world.add_worker(number, ZONES[number % ZONES.len()], number % 3 == 0, boot_ms);
+        }
+        world.run(WARM_UP_MS);
+        let tasks_per_team = self.teams.cpus_max / CPUS_PER_TASK * self.rounds;
+        let jobs_per_team = tasks_per_team.div_ceil(TASKS_PER_JOB);
+        for number in 0..jobs_per_team * self.teams.count {
+            self.submit(&mut world, number);
+        }
+        world
+    }
+
+    fn submit(self, world: &mut World, number: u32) {
+        let team = format!("t{}", number % self.teams.count);
+        let mut submission = job(number, &team, TASKS_PER_JOB, 8.0);
+        match world.rng.random_range(0..12) {
+            0 => submission["yard"] = json!(ZONES[number as usize % ZONES.len()]),
+            1 => submission["one_zone"] = json!(true),
+            2 => submission["scatter"] = json!(true),
+            3 => submission["urgency"] = json!("urgent"),
+            4 => submission["standby"] = json!(false),
+            _ => {}
+        }
+        let node = world.rng.random_range(0..self.nodes);
+        world.submit(node, &submission);
+        world.run(25);
+    }
+}
+
+/// Plays a seed; what was broken, and the starts that were checked.
+fn play(cluster: Cluster, seed: u64) -> (Vec<String>, u64) {
+    let mut world = cluster.start(seed);
+    let mut faults = Faults::default();
+    let end = world.now + FAULTS_MS;
+    while world.now < end {
+        world.run_ms = world.rng.random_range(3_000..14_000);
+        faults.draw(&mut world);
+        let pause_ms = world.rng.random_range(100..2_500);
+        faults.run(&mut world, pause_ms);
+    }
+    faults.end(&mut world);
+    world.run_ms = 5_000;
+    let end = world.now + RECOVERY_MS;
+    while world.now < end && !open_jobs(&world).is_empty() {
+        world.run(2_000);
+    }
+    let open = open_jobs(&world);
+    let mut broken = std::mem::take(&mut world.oracle.broken);
+    if !open.is_empty() {
+        broken.push(format!("not done {} s after the last fault: {open:?}", RECOVERY_MS / 1000));
+    }
+    (broken, world.oracle.checked_starts)
+}
+
+/// Accepted jobs that are neither done nor cancelled.
+fn open_jobs(world: &World) -> Vec<String> {
+    let is_open = |id: &&String| world.store.job(id).is_some_and(|record| record["s"] == "l");
+    world.users.jobs.keys().filter(is_open).cloned().collect()
+}
+
+/// Prints what the nodes log, if asked for.
+fn log_from_env() {
+    let level = std::env::var("SOAK_LOG").ok().and_then(|level| level.parse::<Level>().ok());
+    if let Some(level) = level {
+        let subscriber = tracing_subscriber::fmt().with_max_level(level).without_time();
+        // Both tests ask for it; the first one has set it.
+        let _ = subscriber.with_ansi(false).with_writer(std::io::stdout).try_init();
+    }
+}
+
+fn number_from_env(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Plays seeds on clusters of three and of five nodes in turn.
+fn soak(clusters: [Cluster; 2], usual_seeds: u64) {
+    log_from_env();
+    let first = number_from_env("SOAK_FIRST").unwrap_or(0);
+    let seeds = number_from_env("SOAK_SEEDS").unwrap_or(usual_seeds);
+    let mut failed = Vec::new();
+    let mut starts = 0;
+    for seed in first..first + seeds {
+        let cluster = clusters[seed as usize % clusters.len()];
+        let (broken, checked) = play(cluster, seed);
+        starts += checked;
+        if !broken.is_empty() {
+            let first_ones = &broken[..broken.len().min(3)];
+            println!("seed {seed}, {} nodes: {} broken: {first_ones:?}", cluster.nodes, broken.len());
+            failed.push(seed);
+        }
+    }
+    println!("{seeds} seeds from {first}, {starts} starts checked, seeds that broke a rule: {failed:?}");
+    assert!(failed.is_empty(), "seeds {failed:?}");
+}
+
+#[test]
+fn teams_keep_to_their_limits_on_a_hundred_machines() {
+    soak([Cluster::new(3, 110, 5, false), Cluster::new(5, 110, 5, false)], 48);
+}
+
+#[test]
+fn teams_keep_to_their_limits_on_fifteen_hundred_machines() {
+    soak([Cluster::new(3, 1_500, 8, true), Cluster::new(5, 1_500, 8, true)], 8);
+}
--- a/tests/support/controllers.rs
+++ b/tests/support/controllers.rs
@@ -64,6 +64,7 @@
     /// Ends the process of a node; the next one starts after `back_ms`.
     pub fn crash(&mut self, node: usize, back_ms: u64) {
         self.controllers[node].process = None;
+        self.controllers[node].paused = None;
         self.controllers[node].restart_at = self.now + back_ms;
         self.worker_requests.retain(|(asked, _), _| *asked != node);
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -19,7 +19,7 @@
 mod users;
 mod workers;
 
-pub use settings::{AnnouncedLimits, job, platform};
+pub use settings::{AnnouncedLimits, PinnedTeams, job, platform};
 pub use store_faults::Fate;
 pub use workers::{CommandCounts, Worker, WorkerTask};
 
@@ -152,6 +152,15 @@
         world
     }
 
+    /// A world whose teams take all of its machines at their limits, with the rates of the
+    /// settings enforced.
+    pub fn pinned(nodes: usize, seed: u64, teams: PinnedTeams) -> World {
+        let mut world = World::sized(nodes, seed, Size::Pinned(teams), None, Operator::default());
+        world.store.rates = Some(if teams.is_fleet { FLEET_RATES } else { LARGE_RATES });
+        world.cloud.capacity = 0;
+        world
+    }
+
     fn sized(
         nodes: usize,
         seed: u64,
--- a/tests/support/oracle.rs
+++ b/tests/support/oracle.rs
@@ -2,7 +2,7 @@
 //! and each answer to a user.
 
 use super::recorded_attempts::attempts_of;
-use super::{Answer, CANCEL_MS, WorkerTask, World, settings::Size};
+use super::{Answer, CANCEL_MS, WorkerTask, World};
 use serde_json::Value;
 use std::collections::{HashMap, HashSet};
 use woadlever::wire::workers::TaskState;
@@ -140,7 +140,7 @@
         self.check_quota(&spec, job, task);
         // A look at all tasks of all machines for each start would take longer
         // than the service itself.
-        if self.size != Size::Fleet || self.oracle.starts.len().is_multiple_of(200) {
+        if !self.size.is_fleet() || self.oracle.starts.len().is_multiple_of(200) {
             self.check_zones(&spec, job, task);
         }
     }
--- a/tests/support/settings.rs
+++ b/tests/support/settings.rs
@@ -13,6 +13,33 @@
     Large,
     /// Thousands of machines.
     Fleet,
+    /// A hundred machines or more, with teams that take all of them at their limits.
+    Pinned(PinnedTeams),
+}
+
+impl Size {
+    /// Whether workers send a heartbeat every three seconds, and not every eight.
+    pub fn has_frequent_heartbeats(self) -> bool {
+        matches!(self, Size::Small | Size::Pinned(PinnedTeams { is_fleet: false, .. }))
+    }
+
+    /// Whether there may be thousands of machines.
+    pub fn is_fleet(self) -> bool {
+        matches!(self, Size::Fleet | Size::Pinned(PinnedTeams { is_fleet: true, .. }))
+    }
+}
+
+/// Teams of equal limits, `t0` and so on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PinnedTeams {
+    /// How many.
+    pub count: u32,
+    /// What each is guaranteed.
+    pub cpus: u32,
+    /// What each may use at most.
+    pub cpus_max: u32,
+    /// Whether heartbeats are as rare, and the store as fast, as with thousands of machines.
+    pub is_fleet: bool,
 }
 
 /// Limits of the store that the settings announce.
@@ -42,6 +69,7 @@
         Size::Small => settings(node, nodes),
         Size::Large => large_settings(node, nodes),
         Size::Fleet => fleet_settings(node, nodes),
+        Size::Pinned(teams) => pinned_settings(node, nodes, teams),
     };
     if let Some(AnnouncedLimits { value_kb, mutations, mutations_per_s }) = announced {
         text += &format!(
@@ -72,6 +100,27 @@
         .replace("max_connections=800", "max_connections=7000")
 }
 
+/// The same for teams that are at their limits, at the operators' rates.
+fn pinned_settings(node: usize, nodes: usize, teams: PinnedTeams) -> String {
+    let text = if teams.is_fleet {
+        fleet_settings(node, nodes)
+    } else {
+        settings(node, nodes)
+            .replace("write_rps=200.0", "write_rps=20.0")
+            .replace("rps=500.0", "rps=150.0")
+    };
+    let (head, rest) = text.split_once("[[cluster.teams]]").expect("teams");
+    let (_, tail) = rest.split_once("[cluster.workers]").expect("workers");
+    let mut listed = String::new();
+    for number in 0..teams.count {
+        listed += &format!(
+            "[[cluster.teams]]\nname=\"t{number}\"\ncpus={}.0\ncpus_max={}.0\n",
+            teams.cpus, teams.cpus_max
+        );
+    }
+    format!("{head}{listed}[cluster.workers]{tail}")
+}
+
 fn settings(node: usize, nodes: usize) -> String {
     let mut text = format!(
         "host_name=\"n{node}\"\ndomain=\"{}\"\nbind=\"127.0.0.1:1\"\ninternal_addr=\"127.0.0.1:2\"\n",
--- a/tests/support/workers.rs
+++ b/tests/support/workers.rs
@@ -2,7 +2,7 @@
 
 use super::events::Event;
 use super::network::WORKERS;
-use super::{Answer, LEASE_MS, World, settings::Size};
+use super::{Answer, LEASE_MS, World};
 use rand::RngExt;
 use serde_json::Value;
 use std::collections::HashMap;
@@ -281,14 +281,22 @@
         let now = self.now;
         let jitter = self.rng.random_range(0..1500);
         let worker = &mut self.workers[index];
-        if !worker.alive || now < worker.up_at || now < worker.hung_until {
+        if !worker.alive || now < worker.up_at {
             return;
         }
+        // A machine that hangs may go on within its lease only.
         worker.expire_lease(now);
+        if now < worker.hung_until {
+            return;
+        }
         let started = worker.advance_tasks(now, self.run_ms);
         worker.give_up_heartbeat(now, self.node_count);
         if worker.is_heartbeat_due(now) {
-            let gap = if self.size == Size::Small { 2_250 + jitter } else { 6_000 + jitter * 8 / 3 };
+            let gap = if self.size.has_frequent_heartbeats() {
+                2_250 + jitter
+            } else {
+                6_000 + jitter * 8 / 3
+            };
             let id = self.sequence + 1;
             worker.note_sent(id, now, gap);
             let (node, heartbeat) = (worker.node, Box::new(worker.heartbeat()));
