--- /dev/null
+++ b/src/core/common/context/jobs.rs
@@ -0,0 +1,74 @@
+//! What the records of jobs allow.
+
+use super::NodeContext;
+use crate::core::common::job_records::RecordSource;
+use crate::core::common::job_table::Job;
+use crate::model::JobIndex;
+use crate::wire::store::{JobRecord, JobState};
+use rustc_hash::FxHashSet;
+use woadlever_cells::record::Origin;
+
+impl NodeContext {
+    /// The job with this index; one that has been dropped looks cancelled.
+    pub fn job(&self, index: JobIndex) -> &Job {
+        self.jobs.get(index)
+    }
+
+    /// The job's index, if its record has been read and is kept.
+    pub fn job_index(&self, id: &str) -> Option<JobIndex> {
+        self.jobs.index_of(id)
+    }
+
+    /// The index of a job that a record or a frame names. If it is not in memory,
+    /// its own record is read by itself.
+    pub(crate) fn job_index_or_lookup(&mut self, id: &str) -> JobIndex {
+        self.jobs.index_or_lookup(id, self.clock.now())
+    }
+
+    /// Takes in a job's record; whether it may be relied on (see
+    /// `JobTable::apply_record`).
+    pub fn apply_job_record(
+        &mut self,
+        id: &str,
+        record: JobRecord,
+        version: u64,
+        source: RecordSource,
+    ) -> bool {
+        self.jobs.apply_record(id, record, version, source, self.clock.now())
+    }
+
+    /// Whether no task of the job may be told to run or to go on: its cancellation is
+    /// confirmed, as far as is known here, or it belongs to another cell, whose lease has
+    /// ended.
+    pub fn must_stop(&self, index: JobIndex) -> bool {
+        let job = self.job(index);
+        let is_cancelled = job.state == JobState::Cancelled || job.cancellation_noticed;
+        let is_paused = |origin: &Origin| !self.cell_leases.is_valid(&origin.cell, self.clock.wall());
+        is_cancelled || job.origin().is_some_and(is_paused)
+    }
+
+    /// Drops the oldest final jobs if there are too many. `in_use` adds the jobs that a
+    /// role refers to.
+    pub fn drop_final_jobs(&mut self, in_use: impl FnOnce(&mut FxHashSet<JobIndex>)) {
+        self.jobs.drop_final_jobs(self.clock.now(), in_use);
+    }
+
+    /// Final jobs give their description up after a while, and their task counts at once.
+    pub fn drop_final_specs(&mut self) {
+        self.jobs.drop_old_specs(self.clock.now());
+        let jobs = &self.jobs;
+        let is_live =
+            |id: &str| jobs.index_of(id).is_some_and(|index| jobs.get(index).state == JobState::Live);
+        self.task_counts.retain(is_live);
+    }
+
+    /// Finds the machine types that live work depends on, if it is time to.
+    pub fn update_scarce_types(&mut self) {
+        if !self.machine_types.is_scarcity_due(self.clock.now()) {
+            return;
+        }
+        let waiting = self.jobs.values().filter(|job| job.state == JobState::Live && !job.is_away());
+        let specs = waiting.filter_map(|job| job.spec.as_deref());
+        self.machine_types.update_scarce(self.clock.now(), specs);
+    }
+}
--- a/src/core/leader/attempts.rs
+++ b/src/core/leader/attempts.rs
@@ -5,8 +5,8 @@
 //! once and a hundred end each second, so those of one task or job are found by an index.
 
 use super::Leader;
+use super::attempt_decisions::{AttemptDecision, Decision};
 use super::free_capacity::InstanceLocation;
-use super::quota_watch::{AttemptDecision, Decision};
 use super::shards::ShardAssignment;
 use crate::core::common::context::NodeContext;
 use crate::model::{AttemptId, InstanceIndex, JobIndex, Ms, Resources, ShardIndex};
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -7,6 +7,7 @@
 //! `Core` polls it after each input. It calls neither workers nor users; shard owners and user
 //! API nodes do.
 
+mod attempt_decisions;
 mod attempts;
 mod cascading_cancellation;
 mod cells;
@@ -38,9 +39,11 @@
 
 use crate::core::StoreResponse;
 use crate::core::common::context::NodeContext;
+use crate::core::common::decision_log::DecisionLog;
 use crate::core::common::store_keys::LEADER;
 use crate::model::{AttemptId, JobIndex, Ms, ShardIndex, Term};
 use crate::wire::store::Compare;
+use attempt_decisions::AttemptDecision;
 use attempts::Attempts;
 use cascading_cancellation::CascadingCancellations;
 use cells::{CellCall, Cells};
@@ -171,8 +174,10 @@
     deletions: DeletionQueue,
     /// Whether the store has shown that its lower limits are in force.
     has_lowered_limits: bool,
-    /// Use of the teams' quotas, and the decisions that led to it.
+    /// Broken quotas, and what is logged of the use of teams.
     quota_watch: QuotaWatch,
+    /// The newest decisions on attempts.
+    decisions: DecisionLog<AttemptDecision>,
     /// Jobs to be cancelled since a dependency is.
     cancellations: CascadingCancellations,
     /// Other cells that share load; `None` only while they are at work.
@@ -206,6 +211,7 @@
             deletions: DeletionQueue::default(),
             has_lowered_limits: false,
             quota_watch: QuotaWatch::default(),
+            decisions: DecisionLog::default(),
             cancellations: CascadingCancellations::default(),
             cells: Some(Box::new(Cells::new(context))),
         }
--- a/src/core/leader/quota_watch.rs
+++ b/src/core/leader/quota_watch.rs
@@ -1,4 +1,4 @@
-//! Watches what teams use against their quotas, and keeps the decisions that led there.
+//! Watches what teams use against their quotas.
 //!
 //! Three figures of a team have to agree: what the leader counts is never less than what shard
 //! owners report, and what of it is confirmed is never more than the team's limit. The scheduling cycle passes what it has
@@ -10,9 +10,8 @@
 use super::timer::Timer;
 use crate::config::Team;
 use crate::core::common::context::NodeContext;
-use crate::core::common::decision_log::DecisionLog;
-use crate::model::{AttemptId, JobIndex, Ms, Resources, ShardIndex};
-use crate::wire::peer::{ReportedPhase, ReportedState};
+use crate::model::{AttemptId, Ms, Resources};
+use crate::wire::peer::ReportedState;
 use std::collections::BTreeMap;
 
 /// Time between two lines with the use of all teams near their limits.
@@ -24,41 +23,9 @@
 /// Attempts that one error line names.
 const MAX_NAMED: usize = 200;
 
-/// Why an attempt is counted, or no longer is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Decision {
-    /// Admitted by this leader.
-    Admitted,
-    /// Reported by a shard owner, and neither admitted nor read by this leader.
-    Adopted {
-        /// Whether it goes on.
-        is_wanted: bool,
-    },
-    /// Its task has ended in this phase.
-    Ended(ReportedPhase),
-    /// Not listed by a reported state that answers a desired state which named it.
-    Gone {
-        /// The first desired state that named it.
-        first_named_in: Option<u64>,
-        /// The desired state that was answered.
-        echo: u64,
-    },
-}
-
-/// A decision with the attempt that it is about.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct AttemptDecision {
-    pub attempt: AttemptId,
-    pub job: JobIndex,
-    pub task: u32,
-    pub shard: ShardIndex,
-    pub decision: Decision,
-}
-
 /// What is known of the teams' use beside the attempts themselves.
 #[derive(Debug, Default)]
 pub(super) struct QuotaWatch {
-    decisions: DecisionLog<AttemptDecision>,
     /// By index of the team: whether a broken rule has been logged and still holds.
     is_broken: Vec<bool>,
     /// By index of the team: jobs refused by the quota since the last summary.
@@ -88,21 +55,6 @@
 }
 
 impl Leader {
-    /// Keeps a decision, and logs it at debug.
-    pub(super) fn note_decision(&mut self, context: &NodeContext, made: AttemptDecision) {
-        let AttemptDecision { attempt, job, task, shard, decision } = made;
-        tracing::debug!(
-            term = self.term.number(),
-            shard = context.shards[shard.place()].name,
-            job = context.jobs.id(job),
-            task,
-            attempt = attempt.number(),
-            ?decision,
-            "decision on attempt"
-        );
-        self.quota_watch.decisions.push(context.clock.now(), made);
-    }
-
     /// Compares what the leader counts for each team with the team's limit and with what shard
     /// owners report.
     pub(super) fn watch_quotas(&mut self, context: &NodeContext, counted: &[Resources]) {
@@ -175,17 +127,7 @@
             ?attempts,
             "team quota broken"
         );
-        for (age_ms, made) in self.quota_watch.decisions.take(context.clock.now()) {
-            tracing::error!(
-                age_ms,
-                shard = context.shards[made.shard.place()].name,
-                job = context.jobs.id(made.job),
-                task = made.task,
-                attempt = made.attempt.number(),
-                decision = ?made.decision,
-                "decision before the broken quota"
-            );
-        }
+        self.log_newest_decisions(context);
     }
 
     /// Logs the use of teams that are near their limits or were refused tasks.
--- a/src/core/leader/reconciliation.rs
+++ b/src/core/leader/reconciliation.rs
@@ -6,8 +6,9 @@
 //! the reported state answers a desired state that named it.
 
 use super::Leader;
+use super::attempt_decisions::{AttemptDecision, Decision};
 use super::attempts::{Attempt, Evidence};
-use super::quota_watch::{AttemptDecision, Decision, use_in_report};
+use super::quota_watch::use_in_report;
 use super::run_times::learn_run_time;
 use crate::core::common::context::NodeContext;
 use crate::model::{AttemptId, FencingToken, InstanceIndex, JobIndex, Resources, ShardIndex, Term};
--- a/src/core/shard_owner/parked_heartbeats.rs
+++ b/src/core/shard_owner/parked_heartbeats.rs
@@ -45,6 +45,7 @@
         if shard.is_loaded() {
             add_commands(context, machine, &mut commands);
         }
+        log_answer(context, machine, commands.len());
         machine.liveness.note_response(context.clock.now());
         let response = HeartbeatResponse { fencing_token: machine.fencing_token.number(), commands };
         context.respond_json(parked.request_id, 200, &response);
@@ -70,6 +71,20 @@
     }
 }
 
+/// Logs under which right a heartbeat is answered.
+fn log_answer(context: &NodeContext, machine: &Machine, commands: usize) {
+    let answered = machine.liveness.newest();
+    tracing::debug!(
+        machine = machine.name,
+        fencing_token = machine.fencing_token.number(),
+        incarnation = answered.incarnation,
+        sequence = answered.sequence,
+        read_age_ms = context.control_lease.age_ms(context.clock.now()),
+        commands,
+        "heartbeat answered"
+    );
+}
+
 /// How long a heartbeat is parked; 0: it is answered at once. A machine without attempts
 /// gets new work the sooner; one with tasks also has their ends to tell, so its heartbeat
 /// is parked for a shorter time. The worker gives up after 4 s.
--- a/src/core/shard_owner/worker_commands.rs
+++ b/src/core/shard_owner/worker_commands.rs
@@ -39,13 +39,13 @@
         let Some(action) = action else { continue };
         if action == WorkerAction::Start {
             attempt.start_sent.get_or_insert(machine.liveness.newest());
-            let answered = StartAnswer {
-                machine: &machine.name,
-                fencing_token: machine.fencing_token,
-                heartbeat: machine.liveness.newest(),
-            };
-            log_start(context, answered, attempt);
         }
+        let answered = AnsweredHeartbeat {
+            machine: &machine.name,
+            fencing_token: machine.fencing_token,
+            version: machine.liveness.newest(),
+        };
+        log_command(context, answered, attempt, action);
         commands.push(command_for(context, attempt, action, spec));
     }
 }
@@ -86,28 +86,41 @@
     Command { action, task: task.task.clone(), attempt: task.attempt, grace_s }
 }
 
-/// The answer that carries a start command.
+/// The heartbeat whose answer carries commands.
 #[derive(Debug, Clone, Copy)]
-struct StartAnswer<'a> {
+struct AnsweredHeartbeat<'a> {
     machine: &'a str,
     fencing_token: FencingToken,
-    /// Version of the heartbeat that is answered.
-    heartbeat: HeartbeatVersion,
+    version: HeartbeatVersion,
+}
+
+/// Logs why a command was allowed.
+fn log_command(
+    context: &NodeContext,
+    answered: AnsweredHeartbeat<'_>,
+    attempt: &Attempt,
+    action: WorkerAction,
+) {
+    match action {
+        WorkerAction::Start => log_start(context, answered, attempt),
+        WorkerAction::Stop { .. } => log_stop(context, answered, attempt),
+        WorkerAction::Forget => {}
+    }
 }
 
-/// Logs why a start was allowed, how long it took to record the attempt, and then until its
-/// machine was heard.
-fn log_start(context: &NodeContext, answer: StartAnswer<'_>, attempt: &Attempt) {
+/// Logs a start, how long it took to record the attempt, and then until its machine was heard.
+fn log_start(context: &NodeContext, answered: AnsweredHeartbeat<'_>, attempt: &Attempt) {
     let bound_at = attempt.bound_at.unwrap_or(0);
     let recorded_at = attempt.recorded_at.unwrap_or(0);
     tracing::debug!(
-        machine = answer.machine,
-        fencing_token = answer.fencing_token.number(),
-        incarnation = answer.heartbeat.incarnation,
-        sequence = answer.heartbeat.sequence,
+        machine = answered.machine,
+        fencing_token = answered.fencing_token.number(),
+        incarnation = answered.version.incarnation,
+        sequence = answered.version.sequence,
         job = context.jobs.id(attempt.job),
         task = attempt.task,
         attempt = attempt.id.number(),
+        admitted_in = attempt.admitted_in.map(Term::number),
         present_term = context.leadership.term().map(Term::number),
         revision = attempt.recorded_revision,
         read_age_ms = context.control_lease.age_ms(context.clock.now()),
@@ -116,3 +129,20 @@
         "start command sent"
     );
 }
+
+fn log_stop(context: &NodeContext, answered: AnsweredHeartbeat<'_>, attempt: &Attempt) {
+    tracing::debug!(
+        machine = answered.machine,
+        fencing_token = answered.fencing_token.number(),
+        incarnation = answered.version.incarnation,
+        sequence = answered.version.sequence,
+        job = context.jobs.id(attempt.job),
+        task = attempt.task,
+        attempt = attempt.id.number(),
+        present_term = context.leadership.term().map(Term::number),
+        is_wanted = attempt.is_wanted,
+        is_cancelled = context.must_stop(attempt.job),
+        read_age_ms = context.control_lease.age_ms(context.clock.now()),
+        "stop command sent"
+    );
+}
