Soak: images that take seconds to fetch, direct commands held up for seconds

Cause: the stand-in fetched every image in half a second and delivered each direct command at once, so that a start was never carried out long after its admission. Change: both times can be set, and the soak draws them.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -11,6 +11,8 @@
 const ABOUT_A_LEASE_MS: Range<u64> = 2_500..7_500;
 /// Time within which all nodes end in a total loss.
 const TOTAL_LOSS_MS: u64 = 1_000;
+/// How long direct commands take when nothing holds them up.
+const USUAL_DIRECT_COMMANDS_MS: u64 = 2;
 /// Copies of heartbeats that are kept.
 const MAX_COPIES: usize = 2_000;
 
@@ -26,6 +28,7 @@
     Connect(usize),
     Unmute(usize),
     DeliverReplies(usize),
+    DeliverCommands,
     CarryOutLate,
     SpeedUp,
     Crash { node: usize, back_ms: u64 },
@@ -49,6 +52,7 @@
             Remedy::DeliverReplies(worker) => {
                 world.network.lose_replies.remove(&worker);
             }
+            Remedy::DeliverCommands => world.network.direct_commands_ms = USUAL_DIRECT_COMMANDS_MS,
             Remedy::CarryOutLate => {
                 world.store_faults.pick = None;
                 world.carry_out_late();
@@ -189,7 +193,7 @@
 
     fn draw_network_fault(&mut self, world: &mut World) {
         let node = Faults::draw_node(world);
-        match world.rng.random_range(0..4) {
+        match world.rng.random_range(0..5) {
             0 => {
                 world.network.cuts.insert((node, WORKERS));
                 self.end_after(world, 1_000..12_000, Remedy::Join(node, WORKERS));
@@ -203,6 +207,10 @@
                 world.part_zones();
                 self.end_after(world, 1_000..12_000, Remedy::JoinZones);
             }
+            3 => {
+                world.network.direct_commands_ms = world.rng.random_range(2_000..16_000);
+                self.end_after(world, 3_000..15_000, Remedy::DeliverCommands);
+            }
             _ => self.repeat_old_heartbeats(world),
         }
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -92,6 +92,7 @@
     let end = world.now + FAULTS_MS;
     while world.now < end {
         world.run_ms = world.rng.random_range(3_000..14_000);
+        world.fetch_ms = world.rng.random_range(200..4_000);
         faults.draw(&mut world);
         let pause_ms = world.rng.random_range(100..2_500);
         faults.run(&mut world, pause_ms);
--- a/tests/support/events.rs
+++ b/tests/support/events.rs
@@ -16,7 +16,6 @@
 
 const STORE_MS: u64 = 2;
 const CLOUD_MS: u64 = 50;
-const DIRECT_COMMANDS_MS: u64 = 2;
 /// A write whose answer is lost is given up after this time, and runs up to so late.
 const LOST_ANSWER_MS: u64 = 2_000;
 const LATEST_LOST_WRITE_MS: u64 = 8_000;
@@ -117,7 +116,10 @@
             Output::DirectCommands { addr, commands } => {
                 let found = self.workers.iter().position(|worker| worker.name == addr);
                 if let Some(worker) = found.filter(|_| !self.network.is_cut(node, WORKERS)) {
-                    self.push(DIRECT_COMMANDS_MS, Event::DirectCommands { worker, commands });
+                    self.push(
+                        self.network.direct_commands_ms,
+                        Event::DirectCommands { worker, commands },
+                    );
                 }
             }
             Output::SendCell { cell, message } => self.network.cell_messages.push((cell, *message)),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -51,6 +51,8 @@
 const TICK_MS: u64 = 25;
 /// How long tasks run, unless a test says otherwise.
 const RUN_MS: u64 = 10_000;
+/// How long fetching an image takes, unless a test says otherwise.
+const FETCH_MS: u64 = 500;
 
 /// Rates of the store as the settings of large worlds say.
 const LARGE_RATES: StoreRates = StoreRates { requests: 150.0, mutations: 20.0 };
@@ -85,6 +87,8 @@
     pub commands: CommandCounts,
     /// How long each task runs.
     pub run_ms: u64,
+    /// How long a machine takes to fetch the image of a task that is told to start.
+    pub fetch_ms: u64,
     /// A team that processes started from now on don't know.
     pub without_team: Option<&'static str>,
     /// The operators' settings of all nodes.
@@ -182,6 +186,7 @@
             oracle: Oracle::default(),
             commands: CommandCounts::default(),
             run_ms: RUN_MS,
+            fetch_ms: FETCH_MS,
             without_team: None,
             operator,
             size,
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -8,6 +8,8 @@
 pub const WORKERS: usize = usize::MAX;
 /// How long frames between nodes take, unless a test says otherwise.
 const FRAME_MS: u64 = 2;
+/// How long direct commands take, unless a test says otherwise.
+const DIRECT_COMMANDS_MS: u64 = 2;
 
 /// What reaches whom, and when.
 pub struct Network {
@@ -23,6 +25,8 @@
     pub lag: HashMap<usize, u64>,
     /// How long frames between nodes take.
     pub frame_ms: u64,
+    /// How long direct commands to workers take.
+    pub direct_commands_ms: u64,
     /// Frames that went from node to node.
     pub frames: u64,
     /// The longest of them in bytes, where machines are many.
@@ -42,6 +46,7 @@
             lose_replies: HashSet::new(),
             lag: HashMap::new(),
             frame_ms: FRAME_MS,
+            direct_commands_ms: DIRECT_COMMANDS_MS,
             frames: 0,
             longest_frame: 0,
             reconnects: Vec::new(),
--- a/tests/support/workers.rs
+++ b/tests/support/workers.rs
@@ -175,8 +175,9 @@
         self.next_at = now + gap;
     }
 
-    /// Carries out a command from the answer to a heartbeat.
-    fn obey(&mut self, command: &Command, now: u64) {
+    /// Carries out a command from the answer to a heartbeat; a task that starts has its image
+    /// after `fetch_ms`.
+    fn obey(&mut self, command: &Command, now: u64, fetch_ms: u64) {
         let Some((job, task)) = command.task.rsplit_once('/') else { return };
         let task: u32 = task.parse().unwrap();
         let is_same_task = |known: &WorkerTask| known.job == job && known.task == task;
@@ -191,7 +192,7 @@
                     attempt: command.attempt,
                     state: if busy { TaskState::Exited } else { TaskState::Fetching },
                     why: busy.then(|| "in_use".into()),
-                    at: now + 500,
+                    at: now + fetch_ms,
                 });
             }
             (CommandAction::Stop, Some(found)) if self.tasks[found].state != TaskState::Exited => {
@@ -344,7 +345,7 @@
         worker.lease_from = worker.lease_from.max(heartbeat.sent_at);
         for command in response.commands {
             self.commands.count(&command);
-            worker.obey(&command, now);
+            worker.obey(&command, now, self.fetch_ms);
         }
     }
 
