--- a/src/core/leader/quota_watch.rs
+++ b/src/core/leader/quota_watch.rs
@@ -1,9 +1,10 @@
 //! Watches what teams use against their quotas.
 //!
 //! Three figures of a team have to agree: what the leader counts is never less than what shard
-//! owners report, and what of it is confirmed is never more than the team's limit. The scheduling cycle passes what it has
-//! counted; a broken rule is logged once as an error, with the team's attempts and the newest
-//! decisions. Every so often the figures are logged as they are (docs/operations.md).
+//! owners report, and what of it is confirmed is never more than the team's limit. The scheduling
+//! cycle passes what it has counted; a broken rule is logged once as an error, with the team's
+//! attempts and the newest decisions. Every so often the figures are logged as they are
+//! (docs/operations.md).
 
 use super::Leader;
 use super::attempts::{Attempt, Evidence};
