Tests: fail when a takeover reads a dependency late and a task runs twice

Callers saw a task in two places at once (`ran_twice`) about a second after all controllers had restarted. A full read skips final records that nothing refers to yet, so each new process looks up the dependencies of its live jobs one by one. If the leader activates first, it stops what such a job runs, and admits the tasks again once the read is answered.

The soak and the model had no pipelines, and each call to the fake store took the same time, so every lookup was answered before the leader had read its records. Calls now can have a delay each, drawn for a share of them, or chosen for single records.

--- a/tests/pipelines/main.rs
+++ b/tests/pipelines/main.rs
@@ -14,4 +14,5 @@
 
 mod dependencies;
 mod fixtures;
+mod takeovers;
 mod upgrade;
--- a/tests/recovery_model.rs
+++ b/tests/recovery_model.rs
@@ -9,21 +9,26 @@
 use proptest::prelude::*;
 use proptest::test_runner::{FileFailurePersistence, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use serde_json::json;
 use support::network::WORKERS;
+use support::store_faults::SlowCalls;
 use support::{World, job};
 
 const NODES: usize = 3;
 const MAX_JOBS: u32 = 6;
+/// A quarter of the store's answers is many times slower than the others.
+const SLOW_CALLS: SlowCalls = SlowCalls { share: 0.25, delay_ms: 20..500 };
 const STEPS: std::ops::Range<usize> = 4..16;
 
 /// A step of a generated sequence of events in the cluster.
 #[derive(Debug, Clone)]
 enum Step {
-    Submit { node: usize, tasks: u32 },
+    Submit { node: usize, tasks: u32, is_dependent: bool },
     Crash { node: usize, back_ms: u64 },
     CrashAll { back_ms: [u64; NODES] },
     StoreOutage { is_down: bool },
     RefuseStoreCalls { node: usize },
+    SlowStoreCalls,
     CutWorkerLinks { node: usize },
     Heal,
     RestartWorker { worker: usize },
@@ -48,11 +53,14 @@
     fn transitions(_: &ReferenceState) -> BoxedStrategy<Step> {
         let node = 0..NODES;
         prop_oneof![
-            3 => (node.clone(), 1_u32..10).prop_map(|(node, tasks)| Step::Submit { node, tasks }),
+            3 => (node.clone(), 1_u32..10, any::<bool>()).prop_map(|(node, tasks, is_dependent)| {
+                Step::Submit { node, tasks, is_dependent }
+            }),
             2 => (node.clone(), 50_u64..6_000).prop_map(|(node, back_ms)| Step::Crash { node, back_ms }),
             3 => prop::array::uniform3(50_u64..6_000).prop_map(|back_ms| Step::CrashAll { back_ms }),
             2 => any::<bool>().prop_map(|is_down| Step::StoreOutage { is_down }),
             1 => node.clone().prop_map(|node| Step::RefuseStoreCalls { node }),
+            2 => Just(Step::SlowStoreCalls),
             1 => node.clone().prop_map(|node| Step::CutWorkerLinks { node }),
             2 => Just(Step::Heal),
             2 => (0_usize..12).prop_map(|worker| Step::RestartWorker { worker }),
@@ -81,10 +89,15 @@
     submissions: Vec<u64>,
 }
 
+fn job_id(number: u32) -> String {
+    format!("run-{number:06}")
+}
+
 /// Ends all faults except crashes.
 fn heal(world: &mut World) {
     world.store.is_down = false;
     world.store.refused_nodes.clear();
+    world.store_faults.slow_calls = None;
     world.network.unreachable_pairs.clear();
 }
 
@@ -96,19 +109,25 @@
         let mut world = World::new(NODES, 900);
         world.task_duration_ms = 15_000;
         world.run(5_000);
-        for id in 1..=2 {
-            world.accept(0, &job(id, "t1", 8, 15.0));
-        }
-        world.run(20_000);
+        world.accept(0, &job(1, "t1", 8, 15.0));
+        assert!(world.until_done(&job_id(1), 60_000));
+        let mut dependent = job(2, "t1", 8, 15.0);
+        dependent["awaits"] = json!([job_id(1)]);
+        world.accept(0, &dependent);
+        world.run(5_000);
         Cluster { world, jobs: 2, submissions: Vec::new() }
     }
 
     fn apply(mut cluster: Cluster, _: &ReferenceState, step: Step) -> Cluster {
         let world = &mut cluster.world;
         match step {
-            Step::Submit { node, tasks } => {
+            Step::Submit { node, tasks, is_dependent } => {
                 cluster.jobs += 1;
-                let request = world.submit(node, &job(cluster.jobs, "t1", tasks, 15.0));
+                let mut submission = job(cluster.jobs, "t1", tasks, 15.0);
+                if is_dependent {
+                    submission["awaits"] = json!([job_id(1)]);
+                }
+                let request = world.submit(node, &submission);
                 cluster.submissions.push(request);
             }
             Step::Crash { node, back_ms } => world.crash(node, back_ms),
@@ -119,6 +138,7 @@
             Step::RefuseStoreCalls { node } => {
                 world.store.refused_nodes.insert(node);
             }
+            Step::SlowStoreCalls => world.store_faults.slow_calls = Some(SLOW_CALLS),
             Step::CutWorkerLinks { node } => {
                 world.network.unreachable_pairs.insert((node, WORKERS));
             }
@@ -151,7 +171,7 @@
         let accepted: Vec<bool> = cluster.submissions.iter().map(is_accepted).collect();
         for id in 1..=cluster.jobs {
             let must_be_done = id <= 2 || accepted[id as usize - 3];
-            let name = format!("run-{id:06}");
+            let name = job_id(id);
             assert!(!must_be_done || world.until_done(&name, 300_000), "{name} is not done");
         }
         world.assert_rules_kept();
@@ -162,7 +182,7 @@
     // The seed is fixed, so that each run generates the same cases; failed cases are kept in the
     // file. A manual run can set RECOVERY_CASES to generate more cases.
     #![proptest_config(ProptestConfig {
-        cases: std::env::var("RECOVERY_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(200),
+        cases: std::env::var("RECOVERY_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(1_000),
         rng_seed: RngSeed::Fixed(20_261_202),
         failure_persistence: Some(Box::new(FileFailurePersistence::Direct(
             "tests/recovery_model.regressions",
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -3,6 +3,7 @@
 use crate::support::network::WORKERS;
 use crate::support::{World, WriteFault};
 use rand::RngExt;
+use std::collections::BTreeSet;
 use std::ops::Range;
 use woadlever::core::HttpRequest;
 use woadlever::wire::workers::WorkerHeartbeat;
@@ -75,6 +76,8 @@
 pub struct Faults {
     scheduled: Vec<(u64, ScheduledAction)>,
     heartbeat_copies: Vec<WorkerHeartbeat>,
+    /// Versions of the leader's record that were seen.
+    terms: BTreeSet<u64>,
 }
 
 impl Faults {
@@ -83,6 +86,7 @@
         let end = world.now + ms;
         while world.now < end {
             world.run(50);
+            self.terms.extend(world.store.records.get("w/leader").map(|record| record.version));
             let now = world.now;
             tracing::debug!(now, "simulated time");
             for (_, action) in self.scheduled.extract_if(.., |(at, _)| *at <= now) {
@@ -92,6 +96,11 @@
         }
     }
 
+    /// Number of leaders that were elected while the faults ran.
+    pub fn takeovers(&self) -> usize {
+        self.terms.len()
+    }
+
     /// Ends all faults now, and drops the crashes that are still scheduled.
     pub fn end(&mut self, world: &mut World) {
         for (_, action) in self.scheduled.drain(..) {
@@ -119,6 +128,27 @@
         }
     }
 
+    /// Kills all nodes within a moment, and in half of the cases begins a short fault of the store.
+    pub fn restart_all(&mut self, world: &mut World) {
+        for node in 0..world.node_count {
+            let back_ms = world.rng.random_range(100..5_000);
+            let action = ScheduledAction::Crash { node, back_ms };
+            self.schedule(world, 1..CLUSTER_CRASH_WINDOW_MS, action);
+        }
+        match world.rng.random_range(0..4) {
+            0 => {
+                world.store.is_down = true;
+                self.schedule(world, 1_000..6_000, ScheduledAction::StartStore);
+            }
+            1 => {
+                let node = world.rng.random_range(0..world.node_count);
+                world.store.refused_nodes.insert(node);
+                self.schedule(world, ABOUT_A_LEASE_MS, ScheduledAction::AcceptStoreCalls(node));
+            }
+            _ => {}
+        }
+    }
+
     /// Returns the leader, if there is one, in 60 % of the cases, and otherwise any node.
     fn draw_node(world: &mut World) -> usize {
         let any = world.rng.random_range(0..world.node_count);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,4 +1,5 @@
-//! Clusters whose teams are at their limits, under random faults with short gaps between them.
+//! Clusters under random faults with short gaps between them: teams at their limits, and pipelines
+//! while all nodes are killed again and again.
 //!
 //! CI runs a few fixed seeds. `SOAK_SEEDS=200 SOAK_FIRST=1000 cargo test --release --test soak`
 //! runs others (CONTRIBUTING.md). A seed that breaks a rule is printed, and can be replayed
@@ -12,6 +13,7 @@
 mod support;
 
 mod faults;
+mod restarts;
 
 use faults::Faults;
 use rand::RngExt;
@@ -51,8 +53,8 @@
         Cluster { nodes, machines, teams, rounds: if is_fleet { 3 } else { 8 } }
     }
 
-    /// Starts the world with its machines and submits more work than the teams may run at once.
-    fn start(self, seed: u64) -> World {
+    /// Starts the world with its machines and waits until they are up and a leader is elected.
+    fn start_idle(self, seed: u64) -> World {
         let mut world = World::saturated(self.nodes, seed, self.teams);
         world.cloud.capacity = self.machines;
         world.cloud.created_count = self.machines;
@@ -61,6 +63,12 @@
             world.add_worker(number, ZONES[number % ZONES.len()], number % 3 == 0, boot_ms);
         }
         world.run(WARM_UP_MS);
+        world
+    }
+
+    /// Starts the world and submits more work than the teams may run at once.
+    fn start(self, seed: u64) -> World {
+        let mut world = self.start_idle(seed);
         let tasks_per_team = self.teams.cpus_max / CPUS_PER_TASK * self.rounds;
         let jobs_per_team = tasks_per_team.div_ceil(TASKS_PER_JOB);
         for number in 0..jobs_per_team * self.teams.count {
@@ -86,8 +94,18 @@
     }
 }
 
-/// Runs a seed and returns the broken rules and the number of starts that were checked.
-fn run_seed(cluster: Cluster, seed: u64) -> (Vec<String>, u64) {
+/// Result of one seed.
+struct Outcome {
+    /// The rules that were broken.
+    broken: Vec<String>,
+    /// Number of starts that were checked.
+    starts: u64,
+    /// Number of leaders that were elected.
+    takeovers: usize,
+}
+
+/// Runs a seed with teams at their limits.
+fn run_saturated(cluster: Cluster, seed: u64) -> Outcome {
     let mut world = cluster.start(seed);
     let mut faults = Faults::default();
     let end = world.now + FAULT_PHASE_MS;
@@ -100,6 +118,11 @@
     }
     faults.end(&mut world);
     world.task_duration_ms = 5_000;
+    finish(world, faults.takeovers())
+}
+
+/// Waits until all accepted jobs are done, and returns the result.
+fn finish(mut world: World, takeovers: usize) -> Outcome {
     let end = world.now + RECOVERY_MS;
     while world.now < end && !open_jobs(&world).is_empty() {
         world.run(2_000);
@@ -109,7 +132,7 @@
     if !open.is_empty() {
         broken.push(format!("not done {} s after the last fault: {open:?}", RECOVERY_MS / 1000));
     }
-    (broken, world.oracle.checked_starts)
+    Outcome { broken, starts: world.oracle.checked_starts, takeovers }
 }
 
 /// Returns the accepted jobs that are neither done nor cancelled.
@@ -133,32 +156,43 @@
 }
 
 /// Runs seeds on the two clusters, of three and of five nodes, in turn.
-fn soak(clusters: [Cluster; 2], default_seeds: u64) {
+fn soak(clusters: [Cluster; 2], default_seeds: u64, run_seed: fn(Cluster, u64) -> Outcome) {
     log_from_env();
     let first = number_from_env("SOAK_FIRST").unwrap_or(0);
     let seeds = number_from_env("SOAK_SEEDS").unwrap_or(default_seeds);
     let mut failed = Vec::new();
-    let mut starts = 0;
+    let (mut starts, mut takeovers) = (0, 0);
     for seed in first..first + seeds {
         let cluster = clusters[seed as usize % clusters.len()];
-        let (broken, checked) = run_seed(cluster, seed);
-        starts += checked;
+        let outcome = run_seed(cluster, seed);
+        starts += outcome.starts;
+        takeovers += outcome.takeovers;
+        let broken = outcome.broken;
         if !broken.is_empty() {
             let first_broken = &broken[..broken.len().min(3)];
             println!("seed {seed}, {} nodes: {} broken: {first_broken:?}", cluster.nodes, broken.len());
             failed.push(seed);
         }
     }
-    println!("{seeds} seeds from {first}, {starts} starts checked, seeds that broke a rule: {failed:?}");
+    println!(
+        "{seeds} seeds from {first}, {starts} starts checked, {takeovers} takeovers, \
+         seeds that broke a rule: {failed:?}"
+    );
     assert!(failed.is_empty(), "seeds {failed:?}");
 }
 
 #[test]
 fn teams_keep_to_their_limits_on_a_hundred_machines() {
-    soak([Cluster::new(3, 110, 5, false), Cluster::new(5, 110, 5, false)], 48);
+    soak([Cluster::new(3, 110, 5, false), Cluster::new(5, 110, 5, false)], 48, run_saturated);
 }
 
 #[test]
 fn teams_keep_to_their_limits_on_fifteen_hundred_machines() {
-    soak([Cluster::new(3, 1_500, 8, true), Cluster::new(5, 1_500, 8, true)], 8);
+    soak([Cluster::new(3, 1_500, 8, true), Cluster::new(5, 1_500, 8, true)], 8, run_saturated);
+}
+
+#[test]
+fn pipelines_run_once_while_all_nodes_restart_and_store_calls_are_slow() {
+    let clusters = [Cluster::new(3, 110, 5, false), Cluster::new(5, 110, 5, false)];
+    soak(clusters, 24, restarts::run_pipelines);
 }
--- a/tests/support/events.rs
+++ b/tests/support/events.rs
@@ -172,7 +172,7 @@
         let is_timed_out = self.store_faults.lost_answer_share > 0.0
             && is_write
             && self.rng.random_range(0.0..1.0) < self.store_faults.lost_answer_share;
-        let slow = self.store_faults.delay_ms_of(call.node, &request);
+        let slow = self.store_faults.delay_ms_of(call.node, &request, &mut self.rng);
         // The store may still execute a call that has timed out, seconds later.
         let delay = slow
             + if is_timed_out {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -16,7 +16,7 @@
 mod recorder;
 mod settings;
 pub mod store;
-mod store_faults;
+pub mod store_faults;
 mod users;
 mod workers;
 
--- a/tests/support/store_faults.rs
+++ b/tests/support/store_faults.rs
@@ -1,6 +1,9 @@
 //! Faults that tests inject into calls to the store.
 
+use rand::RngExt;
+use rand::rngs::StdRng;
 use std::collections::HashMap;
+use std::ops::Range;
 use woadlever::core::StoreRequest;
 use woadlever::wire::store::{CompareAndSwap, Mutation};
 
@@ -16,6 +19,15 @@
 /// Time-out of a call, unless a test sets [`StoreFaults::timeout_ms`].
 const DEFAULT_TIMEOUT_MS: u64 = 2_000;
 
+/// Calls that the store answers late, each with a delay of its own.
+#[derive(Debug, Clone)]
+pub struct SlowCalls {
+    /// Fraction of all calls.
+    pub share: f64,
+    /// Range from which the additional delay of a call is drawn, in milliseconds.
+    pub delay_ms: Range<u64>,
+}
+
 /// Faults of calls to the store.
 pub struct StoreFaults {
     /// Fraction of writes whose answer is lost and which the store executes late.
@@ -27,6 +39,10 @@
     /// Additional delay in milliseconds of a node's writes. They still arrive after it, whatever
     /// has become of the node's connection.
     pub slow_writes: HashMap<usize, u64>,
+    /// Additional delay in milliseconds of each read of the single record with this key.
+    pub slow_reads: HashMap<String, u64>,
+    /// Calls of any node that the store answers late.
+    pub slow_calls: Option<SlowCalls>,
     /// Time after which the caller of a selected write learns that its outcome is unknown: the
     /// time-out of the call, or less if the connection is reset.
     pub timeout_ms: u64,
@@ -45,6 +61,8 @@
             slow: HashMap::new(),
             slow_watch: HashMap::new(),
             slow_writes: HashMap::new(),
+            slow_reads: HashMap::new(),
+            slow_calls: None,
             timeout_ms: DEFAULT_TIMEOUT_MS,
             targeted_writes: None,
             targeted_count: 0,
@@ -67,13 +85,19 @@
         Some(fault)
     }
 
-    /// Returns the additional delay of a request of a node.
-    pub(super) fn delay_ms_of(&self, node: usize, request: &StoreRequest) -> u64 {
+    /// Returns the additional delay of a request of a node. Draws a random number only while a share
+    /// of the calls is slow.
+    pub(super) fn delay_ms_of(&self, node: usize, request: &StoreRequest, rng: &mut StdRng) -> u64 {
         let slow = self.slow.get(&node).copied().unwrap_or(0);
-        if matches!(request, StoreRequest::CompareAndSwap(_)) {
-            slow + self.slow_writes.get(&node).copied().unwrap_or(0)
-        } else {
-            slow
-        }
+        let of_request = match request {
+            StoreRequest::CompareAndSwap(_) => self.slow_writes.get(&node),
+            StoreRequest::Get(key) => self.slow_reads.get(key),
+            _ => None,
+        };
+        let drawn = match &self.slow_calls {
+            Some(calls) if rng.random_bool(calls.share) => rng.random_range(calls.delay_ms.clone()),
+            _ => 0,
+        };
+        slow + of_request.copied().unwrap_or(0) + drawn
     }
 }
