Jobs: unread, missing and dropped are states of their own in the job table

A job whose record had not been read was stored as live, one whose record does not exist stayed so for good, and one dropped from memory appeared as cancelled. A caller had to know which further field to ask. `KnownState` names the six cases, and the compiler shows each place that has to decide.

Behaviour is meant to be the same: the leader ignores unread and missing jobs as before, and `must_stop` treats dropped ones as cancelled.

Test: `a_job_whose_record_is_not_read_yet_is_neither_live_nor_final`.

--- a/src/core/common/context/jobs.rs
+++ b/src/core/common/context/jobs.rs
@@ -2,15 +2,14 @@
 
 use super::NodeContext;
 use crate::core::common::job_records::RecordSource;
-use crate::core::common::job_table::Job;
+use crate::core::common::job_table::{Job, KnownState};
 use crate::model::JobIndex;
-use crate::wire::store::{JobRecord, JobState};
+use crate::wire::store::JobRecord;
 use rustc_hash::FxHashSet;
 use woadlever_cells::record::Origin;
 
 impl NodeContext {
-    /// Returns the job with this index. A job that has been dropped from memory appears as
-    /// cancelled.
+    /// Returns the job with this index.
     pub fn job(&self, index: JobIndex) -> &Job {
         self.jobs.get(index)
     }
@@ -43,7 +42,11 @@
     /// ended.
     pub fn must_stop(&self, index: JobIndex) -> bool {
         let job = self.job(index);
-        let is_cancelled = job.state == JobState::Cancelled || job.cancellation_noticed;
+        let is_cancelled = match job.state {
+            KnownState::Cancelled | KnownState::Dropped => true,
+            KnownState::Unread | KnownState::Missing | KnownState::Live | KnownState::Done => false,
+        };
+        let is_cancelled = is_cancelled || job.cancellation_noticed;
         let is_paused = |origin: &Origin| !self.cell_leases.is_valid(&origin.cell, self.clock.wall());
         is_cancelled || job.origin().is_some_and(is_paused)
     }
@@ -60,7 +63,7 @@
         self.jobs.drop_old_specs(self.clock.now());
         let jobs = &self.jobs;
         let is_live =
-            |id: &str| jobs.index_of(id).is_some_and(|index| jobs.get(index).state == JobState::Live);
+            |id: &str| jobs.index_of(id).is_some_and(|index| jobs.get(index).state == KnownState::Live);
         self.task_counts.retain(is_live);
     }
 
@@ -70,7 +73,7 @@
             return;
         }
         let local_jobs =
-            self.jobs.values().filter(|job| job.state == JobState::Live && !job.is_forwarded());
+            self.jobs.values().filter(|job| job.state == KnownState::Live && !job.is_forwarded());
         let specs = local_jobs.filter_map(|job| job.spec.as_deref());
         self.machine_types.update_scarce(self.clock.now(), specs);
     }
--- a/src/core/common/dependencies.rs
+++ b/src/core/common/dependencies.rs
@@ -1,9 +1,8 @@
 //! The dependency graph of jobs. Every node keeps it alongside the watched jobs and updates it
 //! incrementally along its edges with each record, never by a scan of all jobs.
 
-use super::job_table::JobTable;
+use super::job_table::{JobTable, KnownState};
 use crate::model::{JobIndex, Ms};
-use crate::wire::store::JobState;
 
 /// The edges and the state of one job in the dependency graph.
 #[derive(Debug, Default)]
@@ -29,9 +28,9 @@
             let dependency_index = self.index_or_lookup(id, now);
             let Some(dependency) = self.get_mut(dependency_index) else { continue };
             has_cancelled_dependency |=
-                dependency.state == JobState::Cancelled || dependency.links.has_cancelled_dependency;
-            let is_done = dependency.is_read() && dependency.state == JobState::Done;
-            if dependency.state == JobState::Live {
+                dependency.state == KnownState::Cancelled || dependency.links.has_cancelled_dependency;
+            let is_done = dependency.state == KnownState::Done;
+            if !dependency.state.is_final() {
                 dependency.links.dependents.push(index);
             }
             let Some(job) = self.get_mut(index) else { return };
@@ -46,10 +45,10 @@
     /// Propagates a job's final state to the jobs that depend on it.
     pub(crate) fn propagate_end(&mut self, index: JobIndex) {
         let Some(job) = self.get_mut(index) else { return };
-        if job.state == JobState::Live {
+        if !job.state.is_final() {
             return;
         }
-        let is_done = job.state == JobState::Done;
+        let is_done = job.state == KnownState::Done;
         let dependents = std::mem::take(&mut job.links.dependents);
         job.links.dependencies = Vec::new();
         for dependent in dependents {
@@ -73,7 +72,7 @@
         let mut pending = vec![first];
         while let Some(index) = pending.pop() {
             let Some(job) = self.get_mut(index) else { continue };
-            if !job.links.has_cancelled_dependency && job.state == JobState::Live {
+            if !job.links.has_cancelled_dependency && job.state == KnownState::Live {
                 job.links.has_cancelled_dependency = true;
                 pending.extend(&job.links.dependents);
                 self.mark_changed(index);
--- a/src/core/common/job_records.rs
+++ b/src/core/common/job_records.rs
@@ -73,13 +73,13 @@
         let is_offered_again = job.is_tombstone_older_than(&record);
         let is_first = !job.is_read() || is_offered_again;
         job.cancellation_noticed &= !is_offered_again;
-        if version <= job.version || !is_first && job.state != JobState::Live {
+        if version <= job.version || !is_first && job.state.is_final() {
             return;
         }
         let is_final = record.state != JobState::Live;
         let is_newly_cancelled = record.state == JobState::Cancelled && !job.cancellation_noticed;
         job.version = version;
-        job.state = record.state;
+        job.state = record.state.into();
         job.state_since = now;
         job.links.done_at_ms = record.done_ms;
         if is_first {
@@ -119,7 +119,7 @@
         }
         let index = self.index_or_lookup(id, now);
         let Some(job) = self.get_mut(index) else { return };
-        if job.state == JobState::Live && !job.cancellation_noticed {
+        if !job.state.is_final() && !job.cancellation_noticed {
             job.cancellation_noticed = true;
             self.mark_changed(index);
             self.mark_newly_cancelled(index);
--- a/src/core/common/job_table.rs
+++ b/src/core/common/job_table.rs
@@ -6,7 +6,7 @@
 //! [`MAX_FINAL_JOBS`], not by the number of jobs ever submitted.
 //!
 //! An index is never reused for another job. A lookup with the index of a job that has since been
-//! dropped returns a cancelled job without a spec, for which nothing is ever started.
+//! dropped returns a final job without a spec, for which nothing is ever started.
 
 use super::dependencies::DependencyLinks;
 use crate::model::{JobIndex, JobSpec, Ms};
@@ -22,11 +22,60 @@
 /// of them are still in use scans every attempt.
 pub const FINAL_JOBS_BATCH: usize = 256;
 
+/// What this node knows of a job's state. Only a record that has been read tells whether a job is
+/// live or final.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KnownState {
+    /// Another record refers to the job, and its own record has not been read yet. The job may be
+    /// live or final.
+    Unread,
+    /// There is no record of the job, or none that can be decoded, so the job was never accepted.
+    Missing,
+    /// The record states that the job is neither done nor cancelled.
+    Live,
+    /// The record states that the job is done.
+    Done,
+    /// The record states that the job is cancelled.
+    Cancelled,
+    /// The record states that the job is final, and has been dropped from memory.
+    Dropped,
+}
+
+impl KnownState {
+    /// Whether the job is known to be done or cancelled.
+    pub fn is_final(self) -> bool {
+        match self {
+            KnownState::Done | KnownState::Cancelled | KnownState::Dropped => true,
+            KnownState::Unread | KnownState::Missing | KnownState::Live => false,
+        }
+    }
+
+    /// State according to the record; `None` if it is not in memory.
+    pub fn recorded(self) -> Option<JobState> {
+        match self {
+            KnownState::Live => Some(JobState::Live),
+            KnownState::Done => Some(JobState::Done),
+            KnownState::Cancelled => Some(JobState::Cancelled),
+            KnownState::Unread | KnownState::Missing | KnownState::Dropped => None,
+        }
+    }
+}
+
+impl From<JobState> for KnownState {
+    fn from(state: JobState) -> KnownState {
+        match state {
+            JobState::Live => KnownState::Live,
+            JobState::Done => KnownState::Done,
+            JobState::Cancelled => KnownState::Cancelled,
+        }
+    }
+}
+
 /// A job as this node knows it from its record.
 #[derive(Debug)]
 pub struct Job {
-    /// State according to the record.
-    pub state: JobState,
+    /// What is known of the job's state.
+    pub state: KnownState,
     /// Job spec; dropped some time after the job became final.
     pub spec: Option<Arc<JobSpec>>,
     /// Version of the record; 0 if another record refers to the job and its own record has not
@@ -67,7 +116,7 @@
 impl Job {
     fn unread(now: Ms) -> Job {
         Job {
-            state: JobState::Live,
+            state: KnownState::Unread,
             spec: None,
             version: 0,
             tasks: 0,
@@ -98,7 +147,7 @@
     /// `record`. This is the only final state that another state can follow.
     pub(crate) fn is_tombstone_older_than(&self, record: &JobRecord) -> bool {
         let is_newer = |old: &Origin, new: &Origin| old.cell == new.cell && old.epoch < new.epoch;
-        self.state == JobState::Cancelled
+        self.state == KnownState::Cancelled
             && self.origin().zip(record.origin.as_ref()).is_some_and(|(old, new)| is_newer(old, new))
     }
 
@@ -151,7 +200,7 @@
             next_index: 0,
             final_jobs: VecDeque::new(),
             unread: BTreeSet::new(),
-            dropped: Job { state: JobState::Cancelled, ..Job::unread(0) },
+            dropped: Job { state: KnownState::Dropped, ..Job::unread(0) },
             watched_revision: None,
             changed: Vec::new(),
             newly_cancelled: Vec::new(),
@@ -186,7 +235,7 @@
         index
     }
 
-    /// Returns the job. A job that has been dropped appears as cancelled.
+    /// Returns the job. A job that has been dropped appears as [`KnownState::Dropped`].
     pub fn get(&self, index: JobIndex) -> &Job {
         self.entries.get(&index).map_or(&self.dropped, |entry| &entry.job)
     }
@@ -223,12 +272,21 @@
         self.entries.is_empty()
     }
 
-    /// Removes a job from the unread ones, because its record has been read, does not exist or can't
-    /// be decoded.
+    /// Removes a job from the unread ones, because its record has been read.
     pub(crate) fn remove_unread(&mut self, index: JobIndex) {
         self.unread.remove(&index);
     }
 
+    /// Marks an unread job whose record does not exist or can't be decoded.
+    pub(crate) fn mark_missing(&mut self, index: JobIndex) {
+        self.unread.remove(&index);
+        let Some(job) = self.get_mut(index) else { return };
+        if job.state == KnownState::Unread {
+            job.state = KnownState::Missing;
+            self.mark_changed(index);
+        }
+    }
+
     /// Jobs that are referred to and whose own record has not been read yet.
     pub fn unread(&self) -> &BTreeSet<JobIndex> {
         &self.unread
@@ -245,7 +303,7 @@
     pub(crate) fn drop_specs(&mut self, final_before: Ms) {
         for index in &self.final_jobs {
             let Some(entry) = self.entries.get_mut(index) else { continue };
-            if entry.job.state_since < final_before && entry.job.state != JobState::Live {
+            if entry.job.state_since < final_before && entry.job.state.is_final() {
                 entry.job.spec = None;
             }
         }
@@ -301,7 +359,7 @@
     pub(crate) fn add_referenced(&self, indices: &mut FxHashSet<JobIndex>) {
         indices.extend(&self.changed);
         indices.extend(&self.newly_cancelled);
-        let live = self.values().filter(|job| job.state == JobState::Live);
+        let live = self.values().filter(|job| job.state == KnownState::Live);
         indices.extend(live.flat_map(|job| &job.links.dependencies));
     }
 
@@ -320,7 +378,7 @@
         for index in std::mem::take(&mut self.final_jobs) {
             let job = self.get(index);
             // Another cell has offered the job again, so it is no longer final.
-            if job.state == JobState::Live {
+            if !job.state.is_final() {
                 continue;
             }
             let needed = in_use.contains(&index) || job.version > watched_revision;
--- a/src/core/common/lookups.rs
+++ b/src/core/common/lookups.rs
@@ -58,7 +58,7 @@
             StoreResponse::KeyValue(item) => item,
             // The job was never accepted, so the record that refers to it was not written by this
             // service.
-            StoreResponse::NotFound => return context.jobs.remove_unread(index),
+            StoreResponse::NotFound => return context.jobs.mark_missing(index),
             _ => {
                 self.retry_at = context.clock.now() + context.retry_ms(RETRY_MS);
                 return;
@@ -69,7 +69,7 @@
             Ok(record) => context.apply_job_record(&id, record, item.version, RecordSource::Single),
             Err(error) => {
                 tracing::error!(key = item.key, %error, "unreadable record");
-                return context.jobs.remove_unread(index);
+                return context.jobs.mark_missing(index);
             }
         };
         if !is_reliable {
--- a/src/core/leader/cascading_cancellation.rs
+++ b/src/core/leader/cascading_cancellation.rs
@@ -17,12 +17,13 @@
 
 use super::write_pacing::WritePacing;
 use super::{Leader, LeaderCall};
+use crate::core::common::job_table::KnownState;
 use crate::core::common::store_keys::job_key;
 use crate::core::common::{context::NodeContext, job_records::RecordSource};
 use crate::core::{StoreCallOwner, StoreRequest, StoreResponse};
 use crate::model::{JobIndex, Ms};
 use crate::wire::encoded::Encoded;
-use crate::wire::store::{Compare, CompareAndSwap, JobRecord, JobState, Mutation};
+use crate::wire::store::{Compare, CompareAndSwap, JobRecord, Mutation};
 use std::collections::BTreeSet;
 
 /// Delay before the next batch after the store has rejected one.
@@ -45,7 +46,7 @@
     /// a time limit, so they precede the leader's other writes.
     pub(super) fn write_cancellations(&mut self, context: &mut NodeContext) {
         let cancellations = &mut self.cancellations;
-        cancellations.pending.retain(|job| context.job(*job).state == JobState::Live);
+        cancellations.pending.retain(|job| context.job(*job).state == KnownState::Live);
         if cancellations.pending.is_empty() || !cancellations.write.is_ready(context.clock.now()) {
             return;
         }
--- a/src/core/leader/cells/acceptance.rs
+++ b/src/core/leader/cells/acceptance.rs
@@ -10,6 +10,7 @@
 use crate::core::common::context::NodeContext;
 use crate::core::common::feasibility::check_feasibility;
 use crate::core::common::job_records::RecordSource;
+use crate::core::common::job_table::KnownState;
 use crate::core::common::store_keys::job_key;
 use crate::core::leader::Leader;
 use crate::model::{JobSpec, Ms};
@@ -174,7 +175,7 @@
         return HostRecord::Conflicting;
     };
     let has_attempts = leader.attempts.has_job(index);
-    let is_over = known.state == JobState::Cancelled && !has_attempts;
+    let is_over = known.state == KnownState::Cancelled && !has_attempts;
     if origin.epoch < job.epoch && is_over {
         return HostRecord::Unknown;
     }
@@ -182,12 +183,13 @@
         return HostRecord::Conflicting;
     }
     match known.state {
-        JobState::Live => HostRecord::Live {
+        KnownState::Live => HostRecord::Live {
             done: leader.jobs.get(&index).map_or(0, |live| live.done.len()),
             running: running.get(&index).copied().unwrap_or(0),
         },
-        JobState::Done => HostRecord::Done,
-        JobState::Cancelled => HostRecord::Tombstone { has_attempts },
+        KnownState::Done => HostRecord::Done,
+        KnownState::Cancelled | KnownState::Dropped => HostRecord::Tombstone { has_attempts },
+        KnownState::Unread | KnownState::Missing => HostRecord::Unknown,
     }
 }
 
--- a/src/core/leader/cells/forward_writes.rs
+++ b/src/core/leader/cells/forward_writes.rs
@@ -13,7 +13,7 @@
 use crate::core::leader::Leader;
 use crate::model::{JobIndex, JobSpec, Ms};
 use crate::wire::encoded::Encoded;
-use crate::wire::store::{JobRecord, JobState};
+use crate::wire::store::JobRecord;
 use woadlever_cells::event::MoveEvent;
 use woadlever_cells::record::Forwarding;
 
@@ -106,7 +106,7 @@
         let mut settled = Vec::new();
         for (index, pending) in &mut self.pending_forwards {
             let job = context.job(*index);
-            let is_superseded = job.version > pending.version || job.state != JobState::Live;
+            let is_superseded = job.version > pending.version || job.state.is_final();
             if is_superseded || pending.state == ForwardWriteState::NotExecuted {
                 settled.push(*index);
             } else if matches!(pending.state, ForwardWriteState::RetryAt(at) if now >= at) {
--- a/src/core/leader/job_tracking.rs
+++ b/src/core/leader/job_tracking.rs
@@ -7,8 +7,8 @@
 use super::live_jobs::LiveJob;
 use super::progress::{LoadedSegment, ProgressSegment};
 use crate::core::common::context::NodeContext;
+use crate::core::common::job_table::KnownState;
 use crate::model::JobIndex;
-use crate::wire::store::JobState;
 use std::collections::BTreeSet;
 
 impl Leader {
@@ -26,8 +26,12 @@
     /// Adds, updates or removes one job according to its record.
     pub(super) fn sync_job(&mut self, context: &mut NodeContext, index: JobIndex) {
         let job = context.job(index);
-        if job.state != JobState::Live || job.cancellation_noticed {
-            return self.remove_job(context, index);
+        match job.state {
+            KnownState::Unread | KnownState::Missing => return,
+            KnownState::Live if !job.cancellation_noticed => {}
+            KnownState::Live | KnownState::Done | KnownState::Cancelled | KnownState::Dropped => {
+                return self.remove_job(context, index);
+            }
         }
         if job.links.has_cancelled_dependency {
             return self.queue_cancellation(index);
--- a/src/core/shard_owner/attempt.rs
+++ b/src/core/shard_owner/attempt.rs
@@ -2,8 +2,8 @@
 
 use super::placement_records::RecordIndex;
 use crate::core::common::context::NodeContext;
+use crate::core::common::job_table::KnownState;
 use crate::model::{AttemptId, JobIndex, Ms, Resources, Term};
-use crate::wire::store::JobState;
 use woadlever_recovery::attempt::{AttemptPhase, AttemptState};
 use woadlever_recovery::worker::HeartbeatVersion;
 
@@ -93,7 +93,7 @@
         !self.is_recorded()
             && self.is_wanted
             && self.admitted_in == context.leadership.term()
-            && context.job(self.job).state == JobState::Live
+            && context.job(self.job).state == KnownState::Live
             && !context.must_stop(self.job)
     }
 
--- a/src/core/shard_owner/binding.rs
+++ b/src/core/shard_owner/binding.rs
@@ -6,9 +6,9 @@
 use super::machine::{CachedImage, Machine, Machines};
 use super::placement_records::{self, RecordIndex};
 use crate::core::common::context::NodeContext;
+use crate::core::common::job_table::KnownState;
 use crate::core::common::placement;
 use crate::model::{AttemptId, JobIndex, JobSpec, MachineIndex, Ms, Resources, ShardIndex, Term};
-use crate::wire::store::JobState;
 use std::sync::Arc;
 use woadlever_recovery::attempt::AttemptPhase;
 
@@ -87,7 +87,7 @@
 /// Returns the specification of a job if its tasks may start.
 fn startable_spec(context: &NodeContext, index: JobIndex) -> Option<Arc<JobSpec>> {
     let job = context.job(index);
-    let may_start = job.state == JobState::Live && !context.must_stop(index);
+    let may_start = job.state == KnownState::Live && !context.must_stop(index);
     job.spec.clone().filter(|_| may_start)
 }
 
--- a/src/core/shard_owner/worker_commands.rs
+++ b/src/core/shard_owner/worker_commands.rs
@@ -4,8 +4,8 @@
 use super::attempt::Attempt;
 use super::machine::Machine;
 use crate::core::common::context::NodeContext;
+use crate::core::common::job_table::KnownState;
 use crate::model::{FencingToken, JobSpec, Term};
-use crate::wire::store::JobState;
 use crate::wire::workers::{Command, CommandAction, HeartbeatTask, TaskState};
 use woadlever_recovery::attempt::{self, ActionConditions, AttemptPhase, JobEligibility, WorkerAction};
 use woadlever_recovery::worker::HeartbeatVersion;
@@ -53,7 +53,7 @@
 fn job_eligibility(context: &NodeContext, attempt: &Attempt) -> JobEligibility {
     let job = context.job(attempt.job);
     JobEligibility {
-        is_live: job.state == JobState::Live,
+        is_live: job.state == KnownState::Live,
         is_cancelled: context.must_stop(attempt.job),
         can_checkpoint: job.spec.as_ref().is_some_and(|spec| spec.checkpoint_s > 0.0),
     }
--- a/src/core/user_api/cancellation.rs
+++ b/src/core/user_api/cancellation.rs
@@ -1,7 +1,7 @@
 //! Cancellations requested by users.
 
 use super::reads::Waiter;
-use super::responses::{is_hosted, refuse_unknown, respond_state};
+use super::responses::{final_state, is_hosted, refuse_unknown, respond_state};
 use super::status::apply_cancellation;
 use super::{UserApi, UserApiCall, WRITE_UNAVAILABLE, write_job};
 use crate::core::StoreResponse;
@@ -23,11 +23,12 @@
             let waiter = Waiter::Cancellation { request_id, attempts: 0 };
             return self.read(context, id.to_string(), waiter);
         };
-        let (state, version) = (context.job(index).state, context.job(index).version);
-        if state == JobState::Live {
-            self.write_cancellation(context, request_id, id.to_string(), version, 0);
-        } else {
-            respond_state(context, request_id, 200, id, state);
+        match final_state(context, Some(index)) {
+            Some(state) => respond_state(context, request_id, 200, id, state),
+            None => {
+                let version = context.job(index).version;
+                self.write_cancellation(context, request_id, id.to_string(), version, 0);
+            }
         }
     }
 
--- a/src/core/user_api/responses.rs
+++ b/src/core/user_api/responses.rs
@@ -31,7 +31,7 @@
 
 /// Returns the final state of a job; `None` if the job is live or not in memory.
 pub(super) fn final_state(context: &NodeContext, index: Option<JobIndex>) -> Option<JobState> {
-    let state = context.job(index?).state;
+    let state = context.job(index?).state.recorded()?;
     (state != JobState::Live).then_some(state)
 }
 
@@ -59,7 +59,7 @@
     let tasks = known.map(|job| job.tasks);
     // The job's final state may have become known since `state` was read.
     let state = match known {
-        Some(known) if state == JobState::Live => known.state,
+        Some(known) if state == JobState::Live => known.state.recorded().unwrap_or(state),
         _ => state,
     };
     let (state, done, running) = match state {
--- a/src/core/user_api/submission.rs
+++ b/src/core/user_api/submission.rs
@@ -10,6 +10,7 @@
 use crate::core::StoreResponse;
 use crate::core::common::context::NodeContext;
 use crate::core::common::feasibility::check_feasibility;
+use crate::core::common::job_table::KnownState;
 use crate::core::common::store_keys::job_key;
 use crate::model::JobSpec;
 use crate::wire::encoded::Encoded;
@@ -185,7 +186,7 @@
 fn has_cancelled(context: &NodeContext, ids: &[String]) -> bool {
     ids.iter().filter_map(|id| context.job_index(id)).any(|index| {
         let job = context.job(index);
-        job.state == JobState::Cancelled || job.links.has_cancelled_dependency
+        job.state == KnownState::Cancelled || job.links.has_cancelled_dependency
     })
 }
 
--- a/tests/final_jobs/job_table.rs
+++ b/tests/final_jobs/job_table.rs
@@ -4,9 +4,9 @@
 use crate::support::{job, platform};
 use std::sync::Arc;
 use woadlever::config::Operator;
-use woadlever::core::common::job_table::{FINAL_JOBS_BATCH, MAX_FINAL_JOBS};
+use woadlever::core::common::job_table::{FINAL_JOBS_BATCH, KnownState, MAX_FINAL_JOBS};
 use woadlever::core::common::{context::NodeContext, job_records::RecordSource};
-use woadlever::wire::store::{JobRecord, JobState};
+use woadlever::wire::store::JobRecord;
 use woadlever_cells::record::Origin;
 
 fn context() -> NodeContext {
@@ -68,7 +68,27 @@
     context.drop_final_jobs(|_| {});
     assert!(context.apply_job_record(&id(1), live_record(), 140, RecordSource::Watch));
     let index = context.job_index(&id(1)).expect("the final job was dropped");
-    assert_eq!(context.job(index).state, JobState::Done);
+    assert_eq!(context.job(index).state, KnownState::Done);
+}
+
+#[test]
+fn a_job_whose_record_is_not_read_yet_is_neither_live_nor_final() {
+    let mut context = context();
+    context.jobs.set_watched_revision(Some(100));
+    let (live, done) =
+        (context.jobs.index_or_lookup(&id(1), 0), context.jobs.index_or_lookup(&id(2), 0));
+    for index in [live, done] {
+        assert_eq!(context.job(index).state, KnownState::Unread);
+        assert!(!context.job(index).state.is_final() && !context.must_stop(index));
+    }
+    assert!(context.apply_job_record(&id(1), live_record(), 150, RecordSource::Single));
+    assert!(context.apply_job_record(&id(2), JobRecord::done(2, 1), 20, RecordSource::Single));
+    assert_eq!(context.job(live).state, KnownState::Live);
+    assert_eq!(context.job(done).state, KnownState::Done);
+
+    end_jobs(&mut context, 1_000, MAX_FINAL_JOBS + FINAL_JOBS_BATCH, 30);
+    context.drop_final_jobs(|_| {});
+    assert_eq!(context.job(done).state, KnownState::Dropped);
 }
 
 #[test]
@@ -108,13 +128,13 @@
     assert!(context.apply_job_record(&id(1), hosted(5), 30, RecordSource::Watch));
     assert_eq!(
         context.job(index).state,
-        JobState::Cancelled,
+        KnownState::Cancelled,
         "a late copy of the same offer revived the job"
     );
     assert!(context.apply_job_record(&id(1), hosted(7), 40, RecordSource::Watch));
 
     let job = context.job(index);
-    assert_eq!((job.state, job.tasks, job.origin()), (JobState::Live, 2, Some(&origin(7))));
+    assert_eq!((job.state, job.tasks, job.origin()), (KnownState::Live, 2, Some(&origin(7))));
 
     end_jobs(&mut context, 1_000, MAX_FINAL_JOBS + FINAL_JOBS_BATCH, 50);
     context.drop_final_jobs(|_| {});
@@ -128,14 +148,14 @@
     assert!(context.apply_job_record(&id(3), hosted(7), 70, RecordSource::Watch));
 
     let ended = context.job_index(&id(3)).unwrap();
-    assert_eq!(context.job(ended).state, JobState::Done, "a new offer revived a done job");
+    assert_eq!(context.job(ended).state, KnownState::Done, "a new offer revived a done job");
     assert!(context.apply_job_record(&id(2), JobRecord::cancelled(2), 60, RecordSource::Single));
     assert!(context.apply_job_record(&id(2), live_record(), 70, RecordSource::Watch));
 
     let own = context.job_index(&id(2)).unwrap();
     assert_eq!(
         context.job(own).state,
-        JobState::Cancelled,
+        KnownState::Cancelled,
         "a live record revived a cancelled job of this cell"
     );
 }
