Leader: keep recorded attempts until their job is known to be live or ended

Cause: a new leader took "not startable yet" for "not live". A job that depends on a done job can't be added before the record of that one has been read, which takes a read of its own in each new process. If the leader became active first, it stopped the job's recorded attempts, though they ran; when the read was answered, `add_job` made it a job without attempts, and admitted its tasks while the table still held the former ones.

Change: - `JobStatus` has three cases: live, undetermined, ended. Attempts of undetermined jobs continue; the leader decides about them when the job becomes known, whatever path it comes by. - `add_job` accounts for all attempts that the table holds at the job's tasks, and for successes that were reported before. This also covers jobs that were removed on a noticed cancellation, and jobs forwarded to another cell. - The leader stops attempts of jobs that have no record, once that is known. - A shard owner waits only for jobs of which it has to bind tasks, so that attempts of a job that nobody has read yet delay nothing else. - The line "leader has read the records" shows the watched revision, what is unread, and how many attempts are undetermined or stopped; another line says when all jobs are known.

Further tests in tests/pipelines/takeovers.rs for late successes, cancelled jobs, and the time until other tasks start, which is the same to the tick with and without late reads.

--- a/crates/recovery/src/disposition.rs
+++ b/crates/recovery/src/disposition.rs
@@ -10,13 +10,25 @@
     Stop,
 }
 
+/// What the leader knows about the job of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobStatus {
+    /// The job is live, and this cell may run its tasks.
+    Live,
+    /// The records that tell whether the job is live have not all been read: its own, and those of
+    /// the jobs that it depends on.
+    Undetermined,
+    /// No task of the job may run here: the job is done or cancelled, was never accepted, or is
+    /// run by another cell.
+    Ended,
+}
+
 /// What the leader knows about the task of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TaskStatus {
-    /// Whether the task's job is live. False for a job that is done or cancelled, including one
-    /// that is no longer in memory for that reason.
-    pub job_is_live: bool,
-    /// Whether the task is done.
+    /// What is known about the task's job.
+    pub job: JobStatus,
+    /// Whether the task is known to be done.
     pub is_done: bool,
 }
 
@@ -30,12 +42,12 @@
 }
 
 impl AttemptDisposition {
-    /// Returns the decision of a new leader on an attempt that the placement records list.
+    /// Returns the decision of a new leader on an attempt that the placement records list. It is
+    /// made again once an undetermined job is known.
     pub fn of_recorded(task: TaskStatus) -> AttemptDisposition {
-        if task.job_is_live && !task.is_done {
-            AttemptDisposition::Keep
-        } else {
-            AttemptDisposition::Stop
+        match task.job {
+            JobStatus::Live | JobStatus::Undetermined if !task.is_done => AttemptDisposition::Keep,
+            JobStatus::Live | JobStatus::Undetermined | JobStatus::Ended => AttemptDisposition::Stop,
         }
     }
 
--- a/crates/recovery/tests/verdicts.rs
+++ b/crates/recovery/tests/verdicts.rs
@@ -9,7 +9,8 @@
     verdict_on,
 };
 use woadlever_recovery::disposition::{
-    AttemptDisposition, ReportedAttemptStatus, TaskAttempt, TaskStatus, is_proven_gone, superseded,
+    AttemptDisposition, JobStatus, ReportedAttemptStatus, TaskAttempt, TaskStatus, is_proven_gone,
+    superseded,
 };
 use woadlever_recovery::shard::{RecoveryPhase, ShardRecovery};
 use woadlever_recovery::worker::{
@@ -106,14 +107,16 @@
 
 #[test]
 fn a_new_leader_keeps_attempts_of_live_jobs_and_gives_no_task_a_second_attempt() {
-    let status = |job_is_live, is_done| TaskStatus { job_is_live, is_done };
+    let status = |job, is_done| TaskStatus { job, is_done };
     let of_recorded = AttemptDisposition::of_recorded;
-    assert_eq!(of_recorded(status(true, false)), AttemptDisposition::Keep);
-    assert_eq!(of_recorded(status(true, true)), AttemptDisposition::Stop);
-    assert_eq!(of_recorded(status(false, false)), AttemptDisposition::Stop);
+    assert_eq!(of_recorded(status(JobStatus::Live, false)), AttemptDisposition::Keep);
+    assert_eq!(of_recorded(status(JobStatus::Live, true)), AttemptDisposition::Stop);
+    assert_eq!(of_recorded(status(JobStatus::Undetermined, false)), AttemptDisposition::Keep);
+    assert_eq!(of_recorded(status(JobStatus::Undetermined, true)), AttemptDisposition::Stop);
+    assert_eq!(of_recorded(status(JobStatus::Ended, false)), AttemptDisposition::Stop);
     let of_reported = |has_other_attempt, is_on_machine| {
         let attempt = ReportedAttemptStatus { has_other_attempt, is_on_machine };
-        AttemptDisposition::of_reported(status(true, false), attempt)
+        AttemptDisposition::of_reported(status(JobStatus::Live, false), attempt)
     };
     assert_eq!(of_reported(false, true), AttemptDisposition::Keep);
     assert_eq!(of_reported(true, true), AttemptDisposition::Stop);
--- a/src/core/leader/desired_states.rs
+++ b/src/core/leader/desired_states.rs
@@ -18,7 +18,7 @@
 const UNCHANGED_INTERVAL_MS: Ms = 500;
 /// How long a desired state lists an instance after the cloud has confirmed its termination.
 const TERMINATED_RETENTION_MS: Ms = 30_000;
-/// Expected run time of a task whose job the leader doesn't know, in seconds.
+/// Expected run time of a task whose job's record has not been read, in seconds.
 const UNKNOWN_RUN_S: f64 = 1.0;
 
 /// Wanted attempts by job, each as (task, attempt id, whether the owner may choose an instance).
@@ -105,7 +105,11 @@
     fn desired_jobs(&self, context: &NodeContext, tasks: DesiredTasks) -> Vec<DesiredJob> {
         let desired_job = |(job, tasks)| DesiredJob {
             job: context.jobs.id(job).to_string(),
-            expected_s: self.jobs.get(&job).map_or(UNKNOWN_RUN_S, |live| self.expected_s(&live.spec)),
+            expected_s: context
+                .job(job)
+                .spec
+                .as_ref()
+                .map_or(UNKNOWN_RUN_S, |spec| self.expected_s(spec)),
             tasks,
         };
         tasks.into_iter().map(desired_job).collect()
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -35,6 +35,7 @@
 mod shards;
 mod task_counts;
 mod timer;
+mod undetermined_jobs;
 mod write_pacing;
 mod zones;
 
@@ -58,6 +59,7 @@
 use shards::ShardAssignment;
 use std::collections::{BTreeMap, HashMap};
 use timer::Timer;
+use undetermined_jobs::UndeterminedJobs;
 
 /// Minimum time between two polls that process jobs, instances and attempts.
 const POLL_INTERVAL_MS: Ms = 20;
@@ -174,6 +176,8 @@
     task_count_timer: Timer,
     /// Progress that was read before its job was known, by id of the job.
     unclaimed_progress: HashMap<String, Vec<LoadedSegment>>,
+    /// Jobs with recorded attempts that are not known to be live or ended yet.
+    undetermined_jobs: UndeterminedJobs,
     /// Progress records that are no longer needed.
     deletions: DeletionQueue,
     /// Whether the lower limits of the store are known to be in force.
@@ -212,6 +216,7 @@
             record_timer: Timer::default(),
             task_count_timer: Timer::default(),
             unclaimed_progress: HashMap::new(),
+            undetermined_jobs: UndeterminedJobs::default(),
             deletions: DeletionQueue::default(),
             are_lower_limits_in_force: false,
             quota_watch: QuotaWatch::default(),
@@ -247,6 +252,7 @@
         }
         self.poll_timer.set(context.clock.now() + POLL_INTERVAL_MS);
         self.sync_changed_jobs(context);
+        self.log_undetermined_jobs(context);
         self.write_cancellations(context);
         self.poll_cells(context);
         self.poll_fleet(context);
--- a/src/core/leader/rebuild.rs
+++ b/src/core/leader/rebuild.rs
@@ -14,7 +14,7 @@
 use crate::model::{AttemptId, InstanceIndex, Ms, Resources, ShardIndex};
 use crate::wire::peer::ReportedPhase;
 use crate::wire::store::{KeyValue, Page, PlacementRecord, RecordedJob, RecordedMachine};
-use woadlever_recovery::disposition::{AttemptDisposition, TaskStatus};
+use woadlever_recovery::disposition::JobStatus;
 
 /// Maximum number of records in one page.
 const PAGE_RECORDS: u32 = 1_000;
@@ -94,6 +94,7 @@
     fn activate(&mut self, context: &mut NodeContext) {
         self.is_active = true;
         self.activated_at = context.clock.now();
+        self.attempts.drop_superseded();
         for job in context.jobs.indices() {
             self.sync_job(context, job);
         }
@@ -102,12 +103,16 @@
             context.job_index_or_lookup(id);
         }
         context.jobs.clear_changed();
-        self.reconcile_recorded_attempts();
+        self.reconcile_recorded_attempts(context);
         tracing::info!(
             term = self.term.number(),
             revision = self.loading.placements_revision,
+            watched_revision = context.jobs.watched_revision(),
             jobs = self.jobs.len(),
+            unread_jobs = context.jobs.unread().len(),
             attempts = self.attempts.len(),
+            attempts_of_undetermined_jobs = self.undetermined_jobs.attempts,
+            stopped_attempts = self.attempts.values().filter(|attempt| !attempt.is_wanted).count(),
             took_ms = context.clock.now() - self.term_started_at,
             "leader has read the records"
         );
@@ -217,17 +222,16 @@
         index
     }
 
-    /// Decides which of the recorded attempts continue.
-    fn reconcile_recorded_attempts(&mut self) {
-        self.attempts.drop_superseded();
-        for attempt in self.attempts.values_mut() {
-            let live = self.jobs.get_mut(&attempt.job).filter(|live| !live.is_forwarded());
-            let is_done = live.as_ref().is_some_and(|live| live.done.contains(attempt.task));
-            let task = TaskStatus { job_is_live: live.is_some(), is_done };
-            let disposition = AttemptDisposition::of_recorded(task);
-            attempt.is_wanted = disposition == AttemptDisposition::Keep;
-            if let Some(live) = live {
-                live.mark_attempted(attempt.task);
+    /// Decides which of the recorded attempts continue whose jobs have not been added. Live jobs
+    /// have decided on theirs when they were added.
+    fn reconcile_recorded_attempts(&mut self, context: &NodeContext) {
+        let ids: Vec<AttemptId> = self.attempts.iter().map(|(id, _)| id).collect();
+        for id in ids {
+            let Some(job) = self.attempts.get(id).map(|attempt| attempt.job) else { continue };
+            match self.job_status(context, job) {
+                JobStatus::Live => {}
+                JobStatus::Undetermined => self.undetermined_jobs.add_attempt(job),
+                JobStatus::Ended => self.stop_attempt(id),
             }
         }
     }
--- a/src/core/leader/reconciliation.rs
+++ b/src/core/leader/reconciliation.rs
@@ -168,7 +168,7 @@
             self.log_decision(context, reported.decision_entry(Decision::Ended(reported.task.state)));
         }
         match reported.task.state {
-            ReportedPhase::Done => self.on_attempt_done(reported),
+            ReportedPhase::Done => self.on_attempt_done(AttemptId::new(reported.task.attempt)),
             ReportedPhase::Failed => self.on_attempt_failed(context, reported),
             ReportedPhase::Stopped | ReportedPhase::Refused => {
                 self.stop_attempt(AttemptId::new(reported.task.attempt));
@@ -190,9 +190,8 @@
             shard, instance, job: &ReportedJobInfo { job, team, demand }, task, ..
         } = *reported;
         let task_has_attempt = self.attempts.has_task(job, task.task);
-        let live = self.jobs.get_mut(&job).filter(|live| !live.is_forwarded());
-        let is_done = live.as_ref().is_some_and(|live| live.done.contains(task.task));
-        let status = TaskStatus { job_is_live: live.is_some(), is_done };
+        let is_done = self.jobs.get(&job).is_some_and(|live| live.done.contains(task.task));
+        let status = TaskStatus { job: self.job_status(context, job), is_done };
         let seen = ReportedAttemptStatus {
             has_other_attempt: task_has_attempt,
             is_on_machine: task.state != ReportedPhase::Bound,
@@ -200,7 +199,7 @@
         let disposition = AttemptDisposition::of_reported(status, seen);
         let is_wanted = disposition == AttemptDisposition::Keep;
         // The task gets no other attempt until this one is gone.
-        if let Some(live) = live {
+        if let Some(live) = self.jobs.get_mut(&job) {
             live.mark_attempted(task.task);
             live.cancel_retry(task.task);
         }
@@ -239,15 +238,18 @@
         has_changed
     }
 
-    /// Handles a success. The attempt is kept until the success is recorded.
-    fn on_attempt_done(&mut self, reported: &ReportedAttempt) {
-        let ReportedAttempt { instance, job, task, .. } = *reported;
-        let Some(live) = self.jobs.get_mut(&job.job) else { return };
-        if live.on_task_succeeded(task.task) {
-            self.fleet.on_task_succeeded(instance);
-            learn_run_time(&mut self.ratios, &live.spec, task.ran_ms);
-        } else if live.progress.is_recorded(task.task) {
-            self.stop_attempt(AttemptId::new(task.attempt));
+    /// Handles a success. The attempt is kept until the success is recorded. As long as the job is
+    /// undetermined, the success counts only later (see `Leader::claim_attempts`).
+    pub(super) fn on_attempt_done(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let Some(live) = self.jobs.get_mut(&attempt.job) else { return };
+        if live.on_task_succeeded(attempt.task) {
+            if let Some(instance) = attempt.instance {
+                self.fleet.on_task_succeeded(instance);
+            }
+            learn_run_time(&mut self.ratios, &live.spec, attempt.ran_ms);
+        } else if live.progress.is_recorded(attempt.task) {
+            self.stop_attempt(id);
         }
     }
 
@@ -263,7 +265,7 @@
         }
     }
 
-    fn stop_attempt(&mut self, id: AttemptId) {
+    pub(super) fn stop_attempt(&mut self, id: AttemptId) {
         if let Some(attempt) = self.attempts.get_mut(id) {
             attempt.stop(&mut self.shards);
         }
--- a/src/core/shard_owner/desired_state.rs
+++ b/src/core/shard_owner/desired_state.rs
@@ -8,65 +8,63 @@
 };
 use super::{ShardOwner, unavailable};
 use crate::core::common::context::NodeContext;
-use crate::model::{AttemptId, FencingToken, JobIndex, Ms, ShardIndex, Term};
-use crate::wire::peer::{self, Decommission, DesiredState};
+use crate::model::{AttemptId, FencingToken, Ms, ShardIndex, Term};
+use crate::wire::peer::{self, Decommission, DesiredJob, DesiredState};
 use rustc_hash::{FxHashMap, FxHashSet};
 use woadlever_recovery::attempt;
 
 /// Maximum time that a desired state waits for jobs that the watch has not delivered yet.
 const MAX_PARKED_MS: Ms = 2_000;
 
-/// An attempt that a desired state lists.
-struct DesiredAttempt {
-    job: JobIndex,
-    task: u32,
-    /// Whether the attempt may be bound if it is not bound yet.
-    may_bind: bool,
-    expected_ms: Ms,
-}
-
 /// The attempts that a desired state lists.
 struct DesiredAttempts {
-    /// Attempts at tasks of known jobs, by id.
-    wanted: FxHashMap<AttemptId, DesiredAttempt>,
-    /// Ids of attempts at tasks of jobs that this node does not know.
+    /// Expected run times of the attempts that may continue or be bound, by id.
+    wanted: FxHashMap<AttemptId, Ms>,
+    /// Attempts that may be bound if they are not bound yet.
+    admitted: Vec<AdmittedTask>,
+    /// Ids of attempts that may be bound, at tasks of jobs that this node does not know.
     of_unknown_jobs: FxHashSet<AttemptId>,
 }
 
 impl DesiredAttempts {
+    /// An attempt that may not be bound is wanted whether or not its job is known here: the leader
+    /// has found it in a record, and decides about it.
     fn from_message(context: &NodeContext, message: &DesiredState) -> DesiredAttempts {
-        let mut wanted = FxHashMap::default();
-        let mut of_unknown_jobs = FxHashSet::default();
-        for desired in &message.jobs {
-            let Some(job) = context.job_index(&desired.job) else {
-                of_unknown_jobs.extend(desired.tasks.iter().map(|&(_, id, _)| AttemptId::new(id)));
-                continue;
-            };
-            let expected_ms = (desired.expected_s * 1000.0) as Ms;
-            for &(task, id, may_bind) in &desired.tasks {
-                wanted.insert(AttemptId::new(id), DesiredAttempt { job, task, may_bind, expected_ms });
+        let mut desired = DesiredAttempts {
+            wanted: FxHashMap::default(),
+            admitted: Vec::new(),
+            of_unknown_jobs: FxHashSet::default(),
+        };
+        for listed in &message.jobs {
+            let job = context.job_index(&listed.job);
+            let expected_ms = (listed.expected_s * 1000.0) as Ms;
+            for &(task, id, may_bind) in &listed.tasks {
+                let attempt = AttemptId::new(id);
+                match (may_bind, job) {
+                    (false, _) => {
+                        desired.wanted.insert(attempt, expected_ms);
+                    }
+                    (true, Some(job)) => {
+                        desired.wanted.insert(attempt, expected_ms);
+                        let term = Term::new(message.term);
+                        desired.admitted.push(AdmittedTask { attempt, job, task, expected_ms, term });
+                    }
+                    (true, None) => {
+                        desired.of_unknown_jobs.insert(attempt);
+                    }
+                }
             }
         }
-        DesiredAttempts { wanted, of_unknown_jobs }
+        desired
     }
 
     /// Returns the tasks to bind, ordered by attempt id: those that may be bound and are not in
     /// `known`, the attempts that machines already have.
-    fn admitted(&self, known: &FxHashSet<AttemptId>, term: Term) -> Vec<AdmittedTask> {
-        let mut admitted: Vec<AdmittedTask> = self
-            .wanted
-            .iter()
-            .filter(|(id, desired)| desired.may_bind && !known.contains(id))
-            .map(|(&attempt, desired)| AdmittedTask {
-                attempt,
-                job: desired.job,
-                task: desired.task,
-                expected_ms: desired.expected_ms,
-                term,
-            })
-            .collect();
-        admitted.sort_unstable_by_key(|task| task.attempt);
-        admitted
+    fn into_unbound(self, known: &FxHashSet<AttemptId>) -> Vec<AdmittedTask> {
+        let mut unbound = self.admitted;
+        unbound.retain(|task| !known.contains(&task.attempt));
+        unbound.sort_unstable_by_key(|task| task.attempt);
+        unbound
     }
 }
 
@@ -95,14 +93,14 @@
 }
 
 impl ShardOwner {
-    /// Applies a desired state, or parks it until the jobs that it names are known. A stale one is
+    /// Applies a desired state, or parks it until the jobs of which it admits tasks are known. A stale one is
     /// ignored.
     pub(crate) fn on_desired_state(&mut self, context: &mut NodeContext, message: DesiredState) {
         let Some(Some(shard)) = self.shards.get_mut(message.shard as usize) else { return };
         if !is_current(context, shard, &message) {
             return;
         }
-        if knows_jobs(context, &message) {
+        if knows_admitted_jobs(context, &message) {
             shard.parked_desired_state = None;
             self.apply_desired_state(context, message);
             return;
@@ -123,7 +121,7 @@
         let Some(shard) = &mut self.shards[index.as_usize()] else { return };
         let now = context.clock.now();
         let is_due = |parked: &mut ParkedDesiredState| {
-            now > parked.since + MAX_PARKED_MS || knows_jobs(context, &parked.message)
+            now > parked.since + MAX_PARKED_MS || knows_admitted_jobs(context, &parked.message)
         };
         let parked = shard.parked_desired_state.take_if(is_due);
         // Another leader may have been elected while the message was parked.
@@ -148,9 +146,9 @@
             self.begin_decommission(entry, index, fencing_token);
         }
         let known = self.apply_to_machines(context, index, &message, &desired);
-        let admitted = desired.admitted(&known, Term::new(message.term));
-        if !admitted.is_empty() {
-            self.bind_all(context, index, &admitted);
+        let unbound = desired.into_unbound(&known);
+        if !unbound.is_empty() {
+            self.bind_all(context, index, &unbound);
         }
     }
 
@@ -239,9 +237,11 @@
         && shard.newest_serial(term).is_none_or(|newest| message.serial > newest)
 }
 
-/// Whether this node knows all jobs that the message names.
-fn knows_jobs(context: &NodeContext, message: &DesiredState) -> bool {
-    message.jobs.iter().all(|desired| context.job_index(&desired.job).is_some())
+/// Whether this node knows all jobs of which the message lists attempts that may be bound.
+fn knows_admitted_jobs(context: &NodeContext, message: &DesiredState) -> bool {
+    let admits_task = |listed: &&DesiredJob| listed.tasks.iter().any(|&(_, _, may_bind)| may_bind);
+    let mut admitted = message.jobs.iter().filter(admits_task);
+    admitted.all(|listed| context.job_index(&listed.job).is_some())
 }
 
 /// Applies the parts of a message that concern the shard as a whole.
@@ -270,8 +270,8 @@
     for attempt in &mut machine.attempts {
         let wanted = desired.wanted.get(&attempt.id);
         attempt.is_wanted = wanted.is_some();
-        if let Some(wanted) = wanted {
-            attempt.expected_ms = wanted.expected_ms;
+        if let Some(expected_ms) = wanted {
+            attempt.expected_ms = *expected_ms;
         }
     }
 }
--- a/tests/pipelines/takeovers.rs
+++ b/tests/pipelines/takeovers.rs
@@ -1,8 +1,9 @@
 //! New leaders that read the records of dependencies late, after they have read the placements.
 
 use crate::fixtures::{id, stage, world};
-use crate::support::{Worker, World, job};
+use crate::support::{WorkerTask, World, job};
 use serde_json::json;
+use woadlever::wire::workers::TaskState;
 
 /// Number of the job that the others depend on. Its key precedes theirs, so that a full read skips
 /// its final record and each new process has to look it up.
@@ -12,6 +13,8 @@
 
 /// Number of a job that depends on nothing.
 const OTHER: u32 = 3;
+/// Number of a job that is submitted after the takeover.
+const LATER: u32 = 4;
 
 /// Returns a world in which the dependency is done and both tasks of the dependent run, each for
 /// `duration_ms`.
@@ -36,35 +39,69 @@
     world
 }
 
-/// Advances the time while no node reaches the machines that have tasks of the dependent.
-fn run_without_its_machines(world: &mut World, duration_ms: u64) {
-    let of_dependent = |worker: &Worker| worker.tasks.iter().any(|task| task.job == id(DEPENDENT));
-    let machines: Vec<usize> =
-        (0..world.workers.len()).filter(|index| of_dependent(&world.workers[*index])).collect();
-    for &machine in &machines {
-        world.workers[machine].unreachable = true;
+/// Cuts off the machines that have tasks of the dependent.
+fn cut_off_its_machines(world: &mut World) {
+    let of_dependent = |task: &WorkerTask| task.job == id(DEPENDENT);
+    for worker in &mut world.workers {
+        worker.unreachable |= worker.tasks.iter().any(of_dependent);
     }
-    world.run(duration_ms);
-    for &machine in &machines {
-        world.workers[machine].unreachable = false;
+}
+
+fn reach_all_machines(world: &mut World) {
+    for worker in &mut world.workers {
+        worker.unreachable = false;
     }
 }
 
-/// Restarts all nodes, whose reads of the dependency's record are `delay_ms` late from now on.
-fn restart_all_with_late_reads(world: &mut World, delay_ms: u64) {
-    world.store_faults.slow_reads.insert(format!("w/job/{}", id(DEPENDENCY)), delay_ms);
+/// Cancels a job while the machines that have its tasks are cut off.
+fn cancel_out_of_reach(world: &mut World, number: u32) {
+    cut_off_its_machines(world);
+    assert_eq!(world.cancel(0, &id(number)), 200);
+}
+
+/// Delays all reads of the record of a job from now on.
+fn delay_reads(world: &mut World, number: u32, delay_ms: u64) {
+    world.store_faults.slow_reads.insert(format!("w/job/{}", id(number)), delay_ms);
+}
+
+fn restart_all(world: &mut World) {
     for node in 0..world.node_count {
         world.crash(node, 200);
     }
 }
 
+/// Restarts all nodes, whose reads of the dependency's record are `delay_ms` late from now on.
+fn restart_all_with_late_reads(world: &mut World, delay_ms: u64) {
+    delay_reads(world, DEPENDENCY, delay_ms);
+    restart_all(world);
+}
+
+/// Number of tasks of a job that have not ended.
+fn running_tasks(world: &World, number: u32) -> usize {
+    let tasks = world.workers.iter().filter(|worker| worker.alive).flat_map(|worker| &worker.tasks);
+    tasks.filter(|task| task.job == id(number) && task.state != TaskState::Ended).count()
+}
+
+/// Submits a job of one small task and returns the time until it starts, in milliseconds.
+fn time_to_start(world: &mut World, number: u32) -> u64 {
+    let submitted_at = world.now;
+    world.submit(0, &job(number, "t1", 1, 10.0));
+    while !world.oracle.starts.contains_key(&format!("{}/0", id(number))) {
+        world.run(25);
+        assert!(world.now < submitted_at + 60_000, "not started within a minute");
+    }
+    world.now - submitted_at
+}
+
 #[test]
 fn running_tasks_are_not_started_again_when_a_dependency_is_read_after_the_takeover() {
     let mut broken = Vec::new();
     for (seed, delay_ms) in [(30, 150), (31, 400), (32, 1_000), (33, 5_000)] {
         let mut world = world_with_running_dependent(seed, 70_000);
         restart_all_with_late_reads(&mut world, delay_ms);
-        run_without_its_machines(&mut world, 15_000);
+        cut_off_its_machines(&mut world);
+        world.run(15_000);
+        reach_all_machines(&mut world);
         let is_done = world.until_done(&id(DEPENDENT), 120_000);
         if !is_done || !world.each_task_started_once() || !world.oracle.violations.is_empty() {
             broken.push((delay_ms, is_done, world.oracle.starts, world.oracle.violations));
@@ -72,3 +109,54 @@
     }
     assert!(broken.is_empty(), "delay in ms, whether done, starts, rules broken: {broken:#?}");
 }
+
+#[test]
+fn successes_reported_while_a_dependency_is_unread_are_recorded() {
+    let mut world = world_with_running_dependent(34, 45_000);
+    restart_all_with_late_reads(&mut world, 40_000);
+    world.run(30_000);
+    assert!(running_tasks(&world, DEPENDENT) == 0, "the tasks have not ended before the read");
+    assert!(world.until_done(&id(DEPENDENT), 30_000));
+    world.assert_rules_kept();
+    assert!(world.each_task_started_once(), "{:?}", world.oracle.starts);
+}
+
+#[test]
+fn tasks_of_a_cancelled_job_end_when_its_record_is_read_after_the_takeover() {
+    for reached_ms in [0, 12_000] {
+        let mut world = world_with_running_dependent(35, 200_000);
+        cancel_out_of_reach(&mut world, DEPENDENT);
+        delay_reads(&mut world, DEPENDENT, 8_000);
+        restart_all(&mut world);
+        world.run(reached_ms);
+        reach_all_machines(&mut world);
+        world.run(12_000);
+        assert_eq!(running_tasks(&world, DEPENDENT), 0, "reached {reached_ms} ms after the restart");
+        assert!(world.each_task_started_once(), "{:?}", world.oracle.starts);
+        world.assert_rules_kept();
+    }
+}
+
+#[test]
+fn other_tasks_start_as_early_as_without_an_unread_dependency() {
+    let time_to_start = |delay_ms| {
+        let mut world = world_with_running_dependent(36, 70_000);
+        restart_all_with_late_reads(&mut world, delay_ms);
+        world.run(3_000);
+        time_to_start(&mut world, LATER)
+    };
+    assert_eq!(time_to_start(0), time_to_start(20_000));
+}
+
+#[test]
+fn other_tasks_start_as_early_as_without_an_unread_job_that_has_recorded_attempts() {
+    let time_to_start = |delay_ms| {
+        let mut world = world_with_running_dependent(37, 200_000);
+        cancel_out_of_reach(&mut world, DEPENDENT);
+        delay_reads(&mut world, DEPENDENT, delay_ms);
+        restart_all(&mut world);
+        world.run(3_000);
+        time_to_start(&mut world, LATER)
+    };
+    assert_eq!(time_to_start(0), time_to_start(20_000));
+}
