Leader: admit no task at which its own table holds an attempt

The incident showed that nothing checked this: `next_task` decides from the job's own bookkeeping alone, and a job that is added late begins with an empty one. `new_attempt` is the only place that makes attempts, so it refuses now, whatever path led there. A refusal is a fault: it is logged as an error with term, job, task and the known attempt, followed by the newest decisions, counted in `Statistics::duplicate_admissions`, and fails every simulated test and the soak. No test reaches it on these sources.

--- a/src/core/leader/attempt_decisions.rs
+++ b/src/core/leader/attempt_decisions.rs
@@ -53,7 +53,7 @@
         self.decisions.push(context.clock.now(), entry);
     }
 
-    /// Logs the most recent decisions at error level, after a broken quota has been detected.
+    /// Logs the most recent decisions at error level, after a fault has been detected.
     pub(super) fn log_newest_decisions(&mut self, context: &NodeContext) {
         for (age_ms, entry) in self.decisions.take(context.clock.now()) {
             tracing::error!(
@@ -63,7 +63,7 @@
                 task = entry.task,
                 attempt = entry.attempt.number(),
                 decision = ?entry.decision,
-                "decision before the broken quota"
+                "decision before the fault"
             );
         }
     }
--- a/src/core/leader/attempts.rs
+++ b/src/core/leader/attempts.rs
@@ -150,9 +150,15 @@
         self.by_id.iter_mut().map(|(id, attempt)| (*id, attempt))
     }
 
+    /// Id of an attempt at a task, if any is known.
+    pub(crate) fn of_task(&self, job: JobIndex, task: u32) -> Option<AttemptId> {
+        let of_task = (job, task, AttemptId::MIN)..=(job, task, AttemptId::MAX);
+        self.by_task.range(of_task).next().map(|(_, _, id)| *id)
+    }
+
     /// Whether any attempt at a task is known.
     pub(crate) fn has_task(&self, job: JobIndex, task: u32) -> bool {
-        self.by_task.range((job, task, AttemptId::MIN)..=(job, task, AttemptId::MAX)).next().is_some()
+        self.of_task(job, task).is_some()
     }
 
     /// Whether any attempt at a task of a job is known.
@@ -180,7 +186,8 @@
 }
 
 impl Leader {
-    /// Creates an attempt at a task on an instance.
+    /// Creates an attempt at a task on an instance, unless an attempt at the task is known: it may
+    /// be on a machine, and the task must not run twice. That would be a fault of the caller.
     pub(super) fn new_attempt(
         &mut self,
         context: &NodeContext,
@@ -188,6 +195,9 @@
         task: u32,
         location: InstanceLocation,
     ) {
+        if let Some(known) = self.attempts.of_task(job, task) {
+            return self.refuse_duplicate(context, job, task, known);
+        }
         let Some(live) = self.jobs.get(&job) else { return };
         let attempt = Attempt {
             job,
@@ -216,6 +226,19 @@
         self.shards[location.shard.as_usize()].dirty = true;
     }
 
+    /// Counts and logs the refused admission of a task that has an attempt already.
+    fn refuse_duplicate(&mut self, context: &NodeContext, job: JobIndex, task: u32, known: AttemptId) {
+        self.duplicate_admissions += 1;
+        tracing::error!(
+            term = self.term.number(),
+            job = context.jobs.id(job),
+            task,
+            attempt = known.number(),
+            "refused to admit a task that has an attempt"
+        );
+        self.log_newest_decisions(context);
+    }
+
     /// Queues a task again after an attempt at it is gone. If another attempt at the task is
     /// known, the task is not queued: an old attempt that was still in a record may disappear
     /// while a newer one runs, and a third attempt would then run the task twice.
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -184,6 +184,8 @@
     are_lower_limits_in_force: bool,
     /// Detects broken quotas and logs the usage of teams.
     quota_watch: QuotaWatch,
+    /// Number of admissions that were refused because the task had an attempt already.
+    duplicate_admissions: u64,
     /// The most recent decisions on attempts.
     decisions: DecisionLog<AttemptDecision>,
     /// Jobs to be cancelled because a dependency is cancelled.
@@ -220,6 +222,7 @@
             deletions: DeletionQueue::default(),
             are_lower_limits_in_force: false,
             quota_watch: QuotaWatch::default(),
+            duplicate_admissions: 0,
             decisions: DecisionLog::default(),
             cancellations: CascadingCancellations::default(),
             cells: Some(Box::new(Cells::new(context))),
@@ -231,6 +234,11 @@
         self.quota_watch.violations
     }
 
+    /// Number of refused admissions of tasks that had an attempt already, in this term.
+    pub(super) fn duplicate_admissions(&self) -> u64 {
+        self.duplicate_admissions
+    }
+
     /// Returns the condition of every write: this term is still the current one.
     fn compare_term(&self) -> Compare {
         Compare { key: LEADER.into(), version: self.term.number() }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -57,6 +57,9 @@
     pub plans: u64,
     /// Number of quota violations that the leader has found in its term; 0 on other nodes.
     pub quota_violations: u64,
+    /// Number of tasks that the leader has refused to admit in its term because they had an attempt
+    /// already; 0 on other nodes.
+    pub duplicate_admissions: u64,
 }
 
 /// All roles of one node.
@@ -127,6 +130,7 @@
             store_calls: self.context.store.pending_count(),
             plans: leader.map_or(0, |leader| leader.plans),
             quota_violations: leader.map_or(0, Leader::quota_violations),
+            duplicate_admissions: leader.map_or(0, Leader::duplicate_admissions),
         }
     }
 
--- a/tests/support/oracle.rs
+++ b/tests/support/oracle.rs
@@ -36,6 +36,13 @@
     }
 }
 
+/// Faults that a leader has found by itself in its term.
+#[derive(Debug, Clone, Copy, Default)]
+struct LeaderFaults {
+    quota_violations: u64,
+    duplicate_admissions: u64,
+}
+
 /// Task starts so far, and the rules that were broken.
 #[derive(Default)]
 pub struct Oracle {
@@ -45,8 +52,8 @@
     pub violations: Vec<String>,
     /// Number of starts that were checked against the quota of their team.
     pub checked_starts: u64,
-    /// Number of quota violations that each node had found at the last tick.
-    quota_violations: HashMap<usize, u64>,
+    /// Faults that each node had found at the last tick.
+    leader_faults: HashMap<usize, LeaderFaults>,
     /// Jobs recorded as done whose tasks have been checked.
     checked_done_jobs: HashSet<String>,
     /// Usage by team name.
@@ -250,22 +257,29 @@
     pub(super) fn check(&mut self) {
         self.check_cancelled_jobs_are_gone();
         self.check_done_jobs_were_started();
-        self.check_quota_violations();
+        self.check_leader_faults();
         let unadmitted = self.store.recorded_attempts.take_unadmitted();
         let violations = unadmitted.into_iter().map(|found| format!("{} {found}", self.now));
         self.oracle.violations.extend(violations);
     }
 
-    /// Checks that no leader has found a quota violation: its own usage counts must agree with the
-    /// reports of the shard owners and with the limits.
-    fn check_quota_violations(&mut self) {
+    /// Checks that no leader has found a fault: its own usage counts must agree with the reports of
+    /// the shard owners and with the limits, and it must not try to admit a task that has an
+    /// attempt.
+    fn check_leader_faults(&mut self) {
         for node in 0..self.node_count {
-            let violations = self.core(node).map_or(0, |core| core.statistics().quota_violations);
-            let known = self.oracle.quota_violations.insert(node, violations).unwrap_or(0);
-            if violations > known {
-                self.oracle
-                    .violations
-                    .push(format!("{} quota alarm at n{node}: {violations}", self.now));
+            let found = self.core(node).map_or(LeaderFaults::default(), |core| {
+                let statistics = core.statistics();
+                LeaderFaults {
+                    quota_violations: statistics.quota_violations,
+                    duplicate_admissions: statistics.duplicate_admissions,
+                }
+            });
+            let known = self.oracle.leader_faults.insert(node, found).unwrap_or_default();
+            if found.quota_violations > known.quota_violations
+                || found.duplicate_admissions > known.duplicate_admissions
+            {
+                self.oracle.violations.push(format!("{} alarm at n{node}: {found:?}", self.now));
             }
         }
     }
