Tests: recorded progress holds when a dependency is read after the takeover

Of a job with four tasks two are done and recorded and two run when all nodes restart; the dependency is read 3 s late. Each task must start once.

--- a/tests/pipelines/takeovers.rs
+++ b/tests/pipelines/takeovers.rs
@@ -160,3 +160,27 @@
     };
     assert_eq!(time_to_start(0), time_to_start(20_000));
 }
+
+#[test]
+fn tasks_recorded_as_done_do_not_run_again_when_a_dependency_is_read_after_the_takeover() {
+    let mut world = world(38);
+    world.task_duration_ms = 2_000;
+    world.accept(0, &stage(DEPENDENCY, &[]));
+    assert!(world.until_done(&id(DEPENDENCY), 90_000));
+    // The quota of the team allows two of the four tasks at a time.
+    let mut dependent = stage(DEPENDENT, &[DEPENDENCY]);
+    dependent["crew"] = json!("t0");
+    dependent["cores"] = json!(16.0);
+    dependent["pieces"] = json!(4);
+    world.accept(1, &dependent);
+    while world.oracle.starts.len() < 4 {
+        world.run(25);
+    }
+    world.task_duration_ms = 60_000;
+    world.run(12_000);
+    assert_eq!((world.oracle.starts.len(), running_tasks(&world, DEPENDENT)), (6, 2));
+    restart_all_with_late_reads(&mut world, 3_000);
+    assert!(world.until_done(&id(DEPENDENT), 120_000));
+    world.assert_rules_kept();
+    assert!(world.each_task_started_once(), "{:?}", world.oracle.starts);
+}
