Tests: recorded tasks of a job without a record are stopped

The job's record is removed while all nodes are down. Passes before and after the fix; it covers the path on which a lookup finds no record, which the leader decides itself since jobs without a record are a state of their own.

--- a/tests/pipelines/takeovers.rs
+++ b/tests/pipelines/takeovers.rs
@@ -184,3 +184,14 @@
     world.assert_rules_kept();
     assert!(world.each_task_started_once(), "{:?}", world.oracle.starts);
 }
+
+#[test]
+fn recorded_tasks_of_a_job_without_a_record_are_stopped() {
+    let mut world = world_with_running_dependent(39, 200_000);
+    restart_all(&mut world);
+    world.store.records.remove(&format!("w/job/{}", id(DEPENDENT)));
+    world.run(20_000);
+    assert_eq!(running_tasks(&world, DEPENDENT), 0);
+    assert!(world.each_task_started_once(), "{:?}", world.oracle.starts);
+    world.assert_rules_kept();
+}
