--- a/src/core/common/election.rs
+++ b/src/core/common/election.rs
@@ -129,7 +129,7 @@
     }
 
     /// Handles the response to a call of the election.
-    pub(crate) fn on_result(
+    pub(crate) fn on_store_response(
         &mut self,
         context: &mut NodeContext,
         call: ElectionCall,
--- a/src/core/common/lookups.rs
+++ b/src/core/common/lookups.rs
@@ -46,7 +46,7 @@
     }
 
     /// Handles the response to a read.
-    pub(crate) fn on_result(
+    pub(crate) fn on_store_response(
         &mut self,
         context: &mut NodeContext,
         call: LookupCall,
--- a/src/core/common/watch_cache.rs
+++ b/src/core/common/watch_cache.rs
@@ -80,7 +80,7 @@
     }
 
     /// Handles the response to a call that was sent at `sent_at`.
-    pub(crate) fn on_result(
+    pub(crate) fn on_store_response(
         &mut self,
         context: &mut NodeContext,
         call: WatchCacheCall,
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -285,7 +285,7 @@
     }
 
     /// Handles the response to a store call.
-    pub(super) fn on_result(
+    pub(super) fn on_store_response(
         &mut self,
         context: &mut NodeContext,
         call: LeaderCall,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -158,15 +158,17 @@
         let context = &mut self.context;
         match owner {
             StoreCallOwner::WatchCache(call) => {
-                self.watch_cache.on_result(context, call, sent_at, response);
+                self.watch_cache.on_store_response(context, call, sent_at, response);
+            }
+            StoreCallOwner::Lookup(call) => self.lookups.on_store_response(context, call, response),
+            StoreCallOwner::Election(call) => self.election.on_store_response(context, call, response),
+            StoreCallOwner::UserApi(call) => self.user_api.on_store_response(context, call, response),
+            StoreCallOwner::ShardOwner(call) => {
+                self.shard_owner.on_store_response(context, call, response);
             }
-            StoreCallOwner::Lookup(call) => self.lookups.on_result(context, call, response),
-            StoreCallOwner::Election(call) => self.election.on_result(context, call, response),
-            StoreCallOwner::UserApi(call) => self.user_api.on_result(context, call, response),
-            StoreCallOwner::ShardOwner(call) => self.shard_owner.on_result(context, call, response),
             StoreCallOwner::Leader(call) => {
                 if let Some(leader) = &mut self.leader {
-                    leader.on_result(context, call, response);
+                    leader.on_store_response(context, call, response);
                 }
             }
         }
--- a/src/core/shard_owner/mod.rs
+++ b/src/core/shard_owner/mod.rs
@@ -201,7 +201,7 @@
     }
 
     /// Handles the store's response to a call.
-    pub(super) fn on_result(
+    pub(super) fn on_store_response(
         &mut self,
         context: &mut NodeContext,
         call: ShardOwnerCall,
--- a/src/core/user_api/mod.rs
+++ b/src/core/user_api/mod.rs
@@ -94,7 +94,7 @@
     }
 
     /// Handles the response to a call of the user API.
-    pub(super) fn on_result(
+    pub(super) fn on_store_response(
         &mut self,
         context: &mut NodeContext,
         call: UserApiCall,
