Shard owner: log why a task without a known attempt is stopped

While the incident was traced, two commands in an answer to a heartbeat had no line at all: those for tasks that no attempt is known for. The debug line names the task and what is known of its job, so that a job whose record has not been read can be told from one that was never accepted. No line at info is added.

--- a/src/core/common/job_table.rs
+++ b/src/core/common/job_table.rs
@@ -215,6 +215,11 @@
         self.indices.get(id).copied().filter(|index| self.get(*index).is_read())
     }
 
+    /// Returns what is known of the job with this id; `None` if nothing refers to it.
+    pub(crate) fn state_of(&self, id: &str) -> Option<KnownState> {
+        self.indices.get(id).map(|index| self.get(*index).state)
+    }
+
     /// Whether the job has an index, with or without its record.
     pub fn has_index(&self, id: &str) -> bool {
         self.indices.contains_key(id)
--- a/src/core/shard_owner/reconciliation.rs
+++ b/src/core/shard_owner/reconciliation.rs
@@ -156,6 +156,7 @@
     for task in tasks {
         let Some(attempt) = find_attempt(context, machine, task) else {
             recovery.count_unrecorded();
+            log_unrecorded(context, &machine.name, task);
             commands.push(command_for_unrecorded(task));
             continue;
         };
@@ -169,6 +170,20 @@
     listed
 }
 
+/// Logs why a task that a heartbeat lists is stopped or forgotten: no record lists the attempt, or
+/// its job is final. All live jobs have been read before a shard is owned.
+fn log_unrecorded(context: &NodeContext, machine: &str, task: &HeartbeatTask) {
+    let job_state = split_task(&task.task).and_then(|(id, _)| context.jobs.state_of(id));
+    tracing::debug!(
+        machine,
+        task = task.task,
+        attempt = task.attempt,
+        state = ?task.state,
+        ?job_state,
+        "task without a recorded attempt of a known job"
+    );
+}
+
 /// Returns the attempt that an entry of a heartbeat refers to.
 fn find_attempt<'a>(
     context: &NodeContext,
