Shard owner: an attempt of an unread job is on its machine while a worker lists it

A team was over its quota: 36 of 32 CPUs.

A placement record may name a job whose final record the full read has skipped. Until the lookup was answered, `find_attempt` did not find the attempt that a heartbeat listed, since it looked among the jobs read. The task was stopped as one that no record lists, which is right, but its recorded attempt counted as absent once the worker knew the owner's fencing token. The leader considered it gone and admitted another task, while the first ran on if the answer with the stop command was lost.

Change: the attempt is found whether or not its job's record has been read, so it counts until the worker reports its end. Its task is stopped as before: all live jobs are read before a shard is owned, so an unread one is final. The line `stop command sent` shows the job's state.

The fake store can delay lists as well as single reads.

--- a/src/core/common/job_table.rs
+++ b/src/core/common/job_table.rs
@@ -215,9 +215,10 @@
         self.indices.get(id).copied().filter(|index| self.get(*index).is_read())
     }
 
-    /// Returns what is known of the job with this id; `None` if nothing refers to it.
-    pub(crate) fn state_of(&self, id: &str) -> Option<KnownState> {
-        self.indices.get(id).map(|index| self.get(*index).state)
+    /// Returns the index of a job, whether or not its record has been read; `None` if nothing refers
+    /// to the job.
+    pub(crate) fn index_of_referenced(&self, id: &str) -> Option<JobIndex> {
+        self.indices.get(id).copied()
     }
 
     /// Whether the job has an index, with or without its record.
--- a/src/core/shard_owner/reconciliation.rs
+++ b/src/core/shard_owner/reconciliation.rs
@@ -170,28 +170,28 @@
     listed
 }
 
-/// Logs why a task that a heartbeat lists is stopped or forgotten: no record lists the attempt, or
-/// its job is final. All live jobs have been read before a shard is owned.
+/// Logs that a task which a heartbeat lists is stopped or forgotten because no record lists it.
 fn log_unrecorded(context: &NodeContext, machine: &str, task: &HeartbeatTask) {
-    let job_state = split_task(&task.task).and_then(|(id, _)| context.jobs.state_of(id));
+    let job = split_task(&task.task).and_then(|(id, _)| context.jobs.index_of_referenced(id));
+    let job_state = job.map(|job| context.job(job).state);
     tracing::debug!(
         machine,
         task = task.task,
         attempt = task.attempt,
         state = ?task.state,
         ?job_state,
-        "task without a recorded attempt of a known job"
+        "task without a recorded attempt"
     );
 }
 
-/// Returns the attempt that an entry of a heartbeat refers to.
+/// Returns the attempt that an entry of a heartbeat refers to. Its job may still be unread.
 fn find_attempt<'a>(
     context: &NodeContext,
     machine: &'a mut Machine,
     task: &HeartbeatTask,
 ) -> Option<&'a mut Attempt> {
     let (job_id, number) = split_task(&task.task)?;
-    let job = context.job_index(job_id)?;
+    let job = context.jobs.index_of_referenced(job_id)?;
     let is_named = |attempt: &&mut Attempt| {
         attempt.id.number() == task.attempt && attempt.job == job && attempt.task == number
     };
--- a/src/core/shard_owner/worker_commands.rs
+++ b/src/core/shard_owner/worker_commands.rs
@@ -12,7 +12,7 @@
 
 /// Whether this attempt needs a command for which a parked heartbeat must be answered at once.
 pub(super) fn has_command(context: &NodeContext, attempt: &Attempt) -> bool {
-    let must_stop = || context.must_stop(attempt.job);
+    let must_stop = || must_stop(context, attempt);
     match attempt.phase {
         AttemptPhase::Bound => attempt.is_ready() && attempt.start_sent.is_none() && !must_stop(),
         AttemptPhase::Fetching | AttemptPhase::Running => !attempt.is_wanted || must_stop(),
@@ -50,11 +50,22 @@
     }
 }
 
+/// Whether a task on a machine must end. All live jobs are read before a shard is owned, so a job
+/// whose record is unread or missing is final.
+fn must_stop(context: &NodeContext, attempt: &Attempt) -> bool {
+    match context.job(attempt.job).state {
+        KnownState::Unread | KnownState::Missing => true,
+        KnownState::Live | KnownState::Done | KnownState::Cancelled | KnownState::Dropped => {
+            context.must_stop(attempt.job)
+        }
+    }
+}
+
 fn job_eligibility(context: &NodeContext, attempt: &Attempt) -> JobEligibility {
     let job = context.job(attempt.job);
     JobEligibility {
         is_live: job.state == KnownState::Live,
-        is_cancelled: context.must_stop(attempt.job),
+        is_cancelled: must_stop(context, attempt),
         can_checkpoint: job.spec.as_ref().is_some_and(|spec| spec.checkpoint_s > 0.0),
     }
 }
@@ -142,7 +153,8 @@
         attempt = attempt.id.number(),
         present_term = context.leadership.term().map(Term::number),
         is_wanted = attempt.is_wanted,
-        is_cancelled = context.must_stop(attempt.job),
+        is_cancelled = must_stop(context, attempt),
+        job_state = ?context.job(attempt.job).state,
         read_age_ms = context.control_lease.age_ms(context.clock.now()),
         "stop command sent"
     );
--- a/tests/pipelines/main.rs
+++ b/tests/pipelines/main.rs
@@ -15,4 +15,5 @@
 mod dependencies;
 mod fixtures;
 mod takeovers;
+mod unread_jobs;
 mod upgrade;
--- a/tests/support/store_faults.rs
+++ b/tests/support/store_faults.rs
@@ -39,7 +39,8 @@
     /// Additional delay in milliseconds of a node's writes. They still arrive after it, whatever
     /// has become of the node's connection.
     pub slow_writes: HashMap<usize, u64>,
-    /// Additional delay in milliseconds of each read of the single record with this key.
+    /// Additional delay in milliseconds of each read of the single record with this key, and of each
+    /// list of the records with this prefix.
     pub slow_reads: HashMap<String, u64>,
     /// Calls of any node that the store answers late.
     pub slow_calls: Option<SlowCalls>,
@@ -92,6 +93,7 @@
         let of_request = match request {
             StoreRequest::CompareAndSwap(_) => self.slow_writes.get(&node),
             StoreRequest::Get(key) => self.slow_reads.get(key),
+            StoreRequest::List { prefix, .. } => self.slow_reads.get(prefix),
             _ => None,
         };
         let drawn = match &self.slow_calls {
