Tests: tasks of an unread job are stopped before its record is read

Guards the half of the shard owner's rule that the quota test doesn't need: with unread jobs left running until their lookup is answered (a mutation by hand) it fails, and no other test does.

--- a/tests/pipelines/unread_jobs.rs
+++ b/tests/pipelines/unread_jobs.rs
@@ -4,6 +4,7 @@
 use crate::support::{World, job};
 use serde_json::{Value, json};
 use woadlever::wire::store::JobRecord;
+use woadlever::wire::workers::TaskState;
 
 /// Job of a team near its quota, which is cancelled.
 const CANCELLED: u32 = 1;
@@ -82,3 +83,19 @@
     assert!(world.oracle.starts.contains_key(&format!("{}/0", id(WAITING))));
     world.assert_rules_kept();
 }
+
+#[test]
+fn tasks_of_an_unread_job_are_stopped_before_its_record_is_read() {
+    let mut world = World::new(1, 41);
+    world.run(5_000);
+    world.task_duration_ms = 300_000;
+    world.accept(0, &large_job(CANCELLED, "t0"));
+    world.run(20_000);
+    restart_all_after_cancellation(&mut world);
+    world.run(LATE_READ_MS - 1_000);
+    let mut tasks = world.workers.iter().flat_map(|worker| &worker.tasks);
+    assert!(tasks.all(|task| task.state == TaskState::Ended));
+    world.run(30_000);
+    assert!(world.each_task_started_once(), "{:?}", world.oracle.starts);
+    world.assert_rules_kept();
+}
