--- a/tests/pipelines/unread_jobs.rs
+++ b/tests/pipelines/unread_jobs.rs
@@ -27,6 +27,16 @@
     submission
 }
 
+/// Returns a world of one node in which all tasks of the job run.
+fn world_with_running_job(seed: u64) -> World {
+    let mut world = World::new(1, seed);
+    world.run(5_000);
+    world.task_duration_ms = 300_000;
+    world.accept(0, &large_job(CANCELLED, "t0"));
+    world.run(20_000);
+    world
+}
+
 /// Restarts all nodes after the cancellation of the job, which they read late. The shard owners
 /// answer the first heartbeats before they have read their records.
 fn restart_all_after_cancellation(world: &mut World) {
@@ -61,11 +71,7 @@
 
 #[test]
 fn a_team_keeps_to_its_quota_while_a_worker_lists_tasks_of_an_unread_job() {
-    let mut world = World::new(1, 40);
-    world.run(5_000);
-    world.task_duration_ms = 300_000;
-    world.accept(0, &large_job(CANCELLED, "t0"));
-    world.run(20_000);
+    let mut world = world_with_running_job(40);
     let machines: Vec<usize> = (0..world.workers.len()).collect();
     world.task_duration_ms = 24_000;
     world.accept(0, &large_job(ENDING, "t1"));
@@ -86,11 +92,7 @@
 
 #[test]
 fn tasks_of_an_unread_job_are_stopped_before_its_record_is_read() {
-    let mut world = World::new(1, 41);
-    world.run(5_000);
-    world.task_duration_ms = 300_000;
-    world.accept(0, &large_job(CANCELLED, "t0"));
-    world.run(20_000);
+    let mut world = world_with_running_job(41);
     restart_all_after_cancellation(&mut world);
     world.run(LATE_READ_MS - 1_000);
     let mut tasks = world.workers.iter().flat_map(|worker| &worker.tasks);
