--- a/review/standins/state.py
+++ b/review/standins/state.py
@@ -31,6 +31,19 @@
         return True
 
 
+def _shift(value, recorded_ms, later_ms):
+    """Shifts the times of day in a stored value: milliseconds, and numbers of processes, which are
+    sixteenths of microseconds."""
+    if isinstance(value, dict):
+        return {key: _shift(each, recorded_ms, later_ms) for key, each in value.items()}
+    if isinstance(value, list):
+        return [_shift(each, recorded_ms, later_ms) for each in value]
+    for unit in (1, 16_000):
+        if type(value) is int and abs(value / unit - recorded_ms) < 3_600_000:
+            return value + later_ms * unit
+    return value
+
+
 class State:
     def __init__(self, record, limits):
         self.record = record
@@ -85,6 +98,23 @@
 
     # ---- contents ----
 
+    def dump(self):
+        """What is stored, without the keys that end with a lease."""
+        return {"ledger": self.ledger, "recorded_at_ms": int(time.time() * 1000),
+                "keys": {key: {"data": self.values[key]["data"], "stamp": self.values[key]["stamp"]}
+                         for key in self.keys if self.values[key]["permit"] is None}}
+
+    def load(self, dump, age_s):
+        """Begins with what the controllers stored earlier. Times of day in it are shifted, so that it
+        is `age_s` old whenever this is called."""
+        recorded = dump["recorded_at_ms"]
+        later_ms = int((time.time() - age_s) * 1000) - recorded
+        self.ledger = self.dropped_changes = dump["ledger"] + 1
+        self.values = {key: {"data": _shift(value["data"], recorded, later_ms),
+                             "stamp": value["stamp"], "permit": None}
+                       for key, value in dump["keys"].items()}
+        self.keys = sorted(self.values)
+
     def _wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
