Review: ports that outgoing connections don't take, and why a controller ended

Change: the scripts choose ports below those of outgoing connections and record a controller's last line.

--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -85,12 +85,18 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((http.HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Ports that nobody listens on. They are below those that systems give to outgoing connections,
+    which could otherwise take one of them before a controller listens on it."""
+    ports = []
+    for port in random.sample(range(20_000, 32_000), 1_000):
+        with socket.socket() as probe:
+            try:
+                probe.bind((http.HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            break
     return ports
 
 
@@ -182,7 +188,11 @@
 
     def ended(self):
         """Controllers that have ended by themselves."""
-        return [node for node, process in self.processes.items() if process.poll() is not None]
+        ended = [node for node, process in self.processes.items() if process.poll() is not None]
+        for node in ended:
+            with open(os.path.join(self.folder, f"{node}.log"), encoding="utf-8") as log:
+                self.record(node, f"has ended: {log.read().strip().splitlines()[-1:]}")
+        return ended
 
     def stop(self):
         for node in list(self.processes):
