--- a/review/standins-2/cluster.py
+++ b/review/standins-2/cluster.py
@@ -461,6 +461,7 @@
         self.team_used = {}
         self.blocked = set()       # (zone or machine, node) pairs that can't reach each other
         self.finished = set()
+        self.running_since = {}    # task -> when it was last started
 
     def violation(self, rule, *words):
         self.broken.append((rule, " ".join(map(str, words))))
@@ -473,6 +474,7 @@
         if others:
             self.violation("ran_twice", task, "starts on", machine.name, "while on", others)
         others.add(machine.name)
+        self.running_since[task] = now()
         self.starts[task] = self.starts.get(task, 0) + 1
         used = self.team_used[job.team] = self.team_used.get(job.team, 0.0) + job.body["cores"]
         if used > self.team_limit.get(job.team, 1e9) + 1e-3:
@@ -492,6 +494,8 @@
     def end(self, machine, task, cause):
         job = self.jobs[task.rsplit("/", 1)[0]]
         self.on_machine.get(task, set()).discard(machine.name)
+        if not self.on_machine.get(task):
+            self.running_since.pop(task, None)
         self.team_used[job.team] -= job.body["cores"]
         self.record("end", task, "on", machine.name, cause)
         if cause == "done" and task not in self.finished:
@@ -813,7 +817,14 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    async def listen(self):
+        self.server = await asyncio.start_server(self.connection, HOST, self.port)
+
     def set(self, mode):
+        if mode == "refuse" and self.mode != "refuse":
+            self.server.close()
+        if mode != "refuse" and self.mode == "refuse":
+            asyncio.ensure_future(self.listen())
         self.mode = mode
         if mode == "hold":
             self.released.clear()
