Review cases 4 to 6: keep within the lengths and counts of the site files

Cause: the site files set a length for refused connections between controllers (20 s) and a count and a length for machines that fail their tasks (4 machines, 95 s). The first forms of cases 5 and 6 went beyond these.

--- a/review/standins-2/cluster.py
+++ b/review/standins-2/cluster.py
@@ -461,7 +461,7 @@
         self.team_used = {}
         self.blocked = set()       # (zone or machine, node) pairs that can't reach each other
         self.finished = set()
-        self.failing_s = None      # while set: every task that starts fails after this time
+        self.sick = {}             # machine -> time after which every task that it starts fails
         self.running_since = {}    # task -> when it was last started
 
     def violation(self, rule, *words):
@@ -656,7 +656,7 @@
         piece["status"] = "running"
         self.fleet.begin(self, key[0], key[1])
         self.changed()
-        failing_s = self.fleet.failing_s
+        failing_s = self.fleet.sick.get(self.name)
         if failing_s is not None:
             await asyncio.sleep(failing_s)
             if piece["status"] == "running":
