--- a/review/standins-2/cluster.py
+++ b/review/standins-2/cluster.py
@@ -271,7 +271,8 @@
     def put(self, key, data, permit):
         if key not in self.data:
             bisect.insort(self.keys, key)
-        self.data[key] = {"data": data, "stamp": self.ledger, "permit": permit}
+        self.data[key] = {"data": data, "stamp": self.ledger, "permit": permit,
+                          "bytes": len(str(data)) + len(key) + 40}
 
     def drop(self, key):
         if self.data.pop(key, None) is None:
@@ -284,7 +285,7 @@
         pairs, size = [], 0
         while at < len(self.keys) and self.keys[at].startswith(prefix):
             value = self.data[self.keys[at]]
-            size += len(str(value["data"])) + len(self.keys[at]) + 40
+            size += value["bytes"]
             if len(pairs) == most or pairs and size > 400 * 1024:
                 return pairs, True
             pairs.append({"k": self.keys[at], "data": value["data"], "stamp": value["stamp"]})
@@ -462,6 +463,7 @@
         self.blocked = set()       # (zone or machine, node) pairs that can't reach each other
         self.finished = set()
         self.sick = {}             # machine -> time after which every task that it starts fails
+        self.lost = []             # tasks that ended with the lease of their worker
         self.running_since = {}    # task -> when it was last started
 
     def violation(self, rule, *words):
@@ -499,6 +501,8 @@
             self.running_since.pop(task, None)
         self.team_used[job.team] -= job.body["cores"]
         self.record("end", task, "on", machine.name, cause)
+        if cause == "lease":
+            self.lost.append(task)
         if cause == "done" and task not in self.finished:
             self.finished.add(task)
             job.done_tasks += 1
